--- /dev/null
+++ b/crates/bench/src/error.rs
@@ -0,0 +1,22 @@
+//! Errors of the experiment tool.
+
+/// Result of an experiment.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A failure that the user can mend.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// The command line cannot be read.
+    #[error("{0}")]
+    Arguments(#[from] xflags::Error),
+    /// No experiment has this name.
+    #[error("no experiment is named '{0}': try {names}", names = crate::options::NAMES)]
+    Unknown(String),
+    /// The output cannot be written.
+    #[error("the output cannot be written: {0}")]
+    Output(#[from] std::io::Error),
+    /// The result cannot be written as JSON.
+    #[error("the result cannot be written as JSON: {0}")]
+    Json(#[from] serde_json::Error),
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,19 @@
+//! Experiments and benchmarks on the decisions, one module an experiment.
+
+mod decision;
+mod error;
+pub mod options;
+
+pub use error::{Error, Result};
+
+/// Runs the experiment that the command line names.
+///
+/// # Errors
+///
+/// Fails on an unknown experiment or a failed output.
+pub fn run() -> Result<()> {
+    let options = options::Options::from_args()?;
+    match options.experiment {
+        options::Experiment::Decision => decision::run(&options),
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalog/mod.rs
@@ -0,0 +1,6 @@
+//! The records in force, indexed for decisions.
+
+mod build;
+mod view;
+
+pub use view::{Catalog, Place};
--- /dev/null
+++ b/crates/core/src/catalog/view.rs
@@ -0,0 +1,74 @@
+//! The records of one version, indexed by name.
+
+use std::collections;
+
+use crate::name;
+use crate::record;
+use crate::secret;
+use crate::unit;
+
+/// All records of one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Catalog {
+    /// The version of the records.
+    pub version: unit::Version,
+    /// Client accounts.
+    pub accounts: collections::BTreeMap<name::Account, record::Account>,
+    /// Keys that may be used, by digest.
+    pub keys: collections::BTreeMap<secret::Digest, record::Key>,
+    /// Services.
+    pub services: collections::BTreeMap<name::Service, record::Service>,
+    /// Targets.
+    pub targets: collections::BTreeMap<name::Target, record::Target>,
+    /// Regions.
+    pub regions: collections::BTreeMap<name::Region, record::Region>,
+    /// The region of each availability zone.
+    pub zones: collections::BTreeMap<name::Zone, name::Region>,
+    /// Links between regions.
+    pub links: Vec<record::Link>,
+    /// Traffic shifts.
+    pub shifts: Vec<record::Shift>,
+    /// Planned drains.
+    pub drains: Vec<record::Drain>,
+    /// What the deployment weighs most.
+    pub policy: record::Policy,
+}
+
+/// The route that serves a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place<'a> {
+    /// The service of the route.
+    pub service: &'a record::Service,
+    /// The route.
+    pub route: &'a record::Route,
+}
+
+impl Catalog {
+    /// Finds the route with the longest path prefix that takes the method.
+    #[must_use]
+    pub fn route(&self, method: &str, path: &str) -> Option<Place<'_>> {
+        let places = self.services.values().flat_map(|service| {
+            service
+                .routes
+                .iter()
+                .map(move |route| Place { service, route })
+        });
+        places
+            .filter(|place| takes(place.route, method, path))
+            .max_by_key(|place| place.route.path.len())
+    }
+
+    /// Returns whether a target gets no new work by record.
+    #[must_use]
+    pub fn is_drained(&self, target: &record::Target) -> bool {
+        self.drains.iter().any(|drain| match &drain.subject {
+            record::Subject::Target(name) => *name == target.name,
+            record::Subject::Zone(zone) => *zone == target.zone,
+            record::Subject::Host(_) => false,
+        })
+    }
+}
+
+fn takes(route: &record::Route, method: &str, path: &str) -> bool {
+    path.starts_with(&route.path) && route.methods.iter().any(|known| known == method)
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Pure decisions of skylarkmount: no input or output, no clock, no tasks.
+//!
+//! Each function that decides takes `now` and borrowed views, and returns a
+//! value that can be compared, so that any decision can be run again.
+
+pub mod catalog;
+pub mod error;
+pub mod instant;
+pub mod kind;
+pub mod lease;
+pub mod name;
+pub mod record;
+pub mod secret;
+pub mod timestamp;
+pub mod unit;
--- /dev/null
+++ b/crates/core/src/name/region.rs
@@ -0,0 +1,6 @@
+//! Name of a region.
+
+super::declare!(
+    /// Names a region.
+    Region, "region"
+);
--- /dev/null
+++ b/crates/core/src/name/service.rs
@@ -0,0 +1,6 @@
+//! Name of a service.
+
+super::declare!(
+    /// Names a service.
+    Service, "service"
+);
--- /dev/null
+++ b/crates/core/src/name/target.rs
@@ -0,0 +1,6 @@
+//! Name of a target.
+
+super::declare!(
+    /// Names a target.
+    Target, "target"
+);
--- /dev/null
+++ b/crates/core/src/name/zone.rs
@@ -0,0 +1,6 @@
+//! Name of an availability zone.
+
+super::declare!(
+    /// Names an availability zone.
+    Zone, "availability zone"
+);
--- /dev/null
+++ b/crates/core/src/record/address.rs
@@ -0,0 +1,4 @@
+//! Address of a process.
+
+/// An IP address and port.
+pub type Address = std::net::SocketAddr;
--- /dev/null
+++ b/crates/core/src/record/region.rs
@@ -0,0 +1,16 @@
+//! Record of a region.
+
+use crate::name;
+use crate::unit;
+
+/// A region and its availability zones.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Region {
+    /// Name of the region.
+    pub name: name::Region,
+    /// Availability zones of the region.
+    pub zones: Vec<name::Zone>,
+    /// One-way delay between the region's availability zones.
+    pub delay: unit::Span,
+}
--- /dev/null
+++ b/crates/core/src/unit/span.rs
@@ -0,0 +1,66 @@
+//! Lengths of time.
+
+use std::fmt;
+use std::str;
+use std::time;
+
+use crate::error;
+
+/// A length of time, written like `1500ms` or `2s`.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct Span(time::Duration);
+
+impl Span {
+    /// Creates a span from a duration.
+    #[must_use]
+    pub const fn new(length: time::Duration) -> Self {
+        Self(length)
+    }
+
+    /// Creates a span from milliseconds.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(time::Duration::from_millis(millis))
+    }
+
+    /// Returns the span as a duration.
+    #[must_use]
+    pub const fn get(self) -> time::Duration {
+        self.0
+    }
+}
+
+impl str::FromStr for Span {
+    type Err = error::Error;
+
+    fn from_str(text: &str) -> super::Result<Self> {
+        humantime::parse_duration(text)
+            .map(Self)
+            .map_err(|_error| error::Error::Quantity {
+                kind: "length of time",
+                text: text.to_owned(),
+                example: "1500ms or 2s",
+            })
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", humantime::format_duration(self.0))
+    }
+}
+
+super::textual!(Span);
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder while the workspace is laid out.
--- /dev/null
+++ b/crates/wire/src/control.rs
@@ -0,0 +1,77 @@
+//! What a host's control process tells the host's entry and look-up processes.
+
+use skylark_core::name;
+use skylark_core::record;
+use skylark_core::unit;
+
+/// The service that entry and look-up processes offer on their control address.
+#[tarpc::service]
+pub trait Control {
+    /// Puts a view in force; an older version than the one in force is ignored.
+    async fn install(view: View) -> Installed;
+}
+
+/// What is in force: records and the hosts that are known.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct View {
+    /// Version of the records.
+    pub version: unit::Version,
+    /// The records, absent where the receiver holds this version.
+    pub records: Option<Vec<record::Document>>,
+    /// Age of the last proof that no newer version was accepted, in milliseconds.
+    pub age_millis: u64,
+    /// Entry hosts that are known to serve.
+    pub hosts: Vec<Host>,
+}
+
+/// One life of an entry host, as other hosts see it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Host {
+    /// Name of the entry host.
+    pub host: name::Host,
+    /// Name of this life of its entry process.
+    pub incarnation: name::Incarnation,
+    /// Availability zone of the entry host.
+    pub zone: name::Zone,
+    /// Addresses on which the host's processes listen.
+    pub ports: Ports,
+    /// Whether the host takes new work.
+    pub phase: Phase,
+}
+
+/// Addresses of an entry host's processes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ports {
+    /// Where callers send requests.
+    pub entry: record::Address,
+    /// Where the entry process takes control messages.
+    pub control: record::Address,
+    /// Where callers ask which entry host to use.
+    pub lookup: record::Address,
+    /// Where the control process hears its peers.
+    pub steer: record::Address,
+}
+
+/// Phase of an entry host's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// Takes new work.
+    Serving,
+    /// Finishes what it has and takes nothing new.
+    Leaving,
+}
+
+/// What a process has in force after an install.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Installed {
+    /// Version in force.
+    pub version: unit::Version,
+    /// This life of the process, absent for a look-up process.
+    pub incarnation: Option<name::Incarnation>,
+    /// Whether the process needs the records of the version it was told of.
+    pub wants: bool,
+    /// Whether the process is leaving.
+    pub phase: Phase,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,7 @@
+//! What the processes of skylarkmount say to each other and to the platform.
+
+pub mod control;
+pub mod header;
+pub mod http;
+pub mod platform;
+pub mod problem;
--- /dev/null
+++ b/src/bin/skylark-bench.rs
@@ -0,0 +1,16 @@
+//! Experiments and benchmarks on the decisions.
+
+use std::process;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> process::ExitCode {
+    match skylark_bench::run() {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
