Serve a request through separate entry, look-up and control processes

Change: daemons skylark-entry, skylark-lookup and skylark-steer, their frame (settings, logs, metrics, supervisor, health), and the stand-ins for the platform and for targets. The receiver's clock is read before each telling, so the age of the last proof never looks younger than it is, however late the call arrives.

--- /dev/null
+++ b/crates/entry/src/forward.rs
@@ -0,0 +1,149 @@
+//! One exchange with a target.
+
+use std::time;
+
+use http_body_util::BodyExt as _;
+use hyper::header;
+use skylark_core::name;
+use skylark_core::record;
+use skylark_wire::header as names;
+
+use super::answer;
+use super::exchange;
+use super::pool;
+
+/// Why an exchange gave no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The target did not start the request: another may.
+    NotStarted,
+    /// The target may have started the request.
+    Unknown,
+    /// The time ran out after the request may have been started.
+    TimedOut,
+}
+
+/// Result of one exchange.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// Sends the request to one target and waits for its whole answer.
+///
+/// # Errors
+///
+/// Fails with what is known of a start when no whole answer arrives in time.
+pub async fn send(
+    pool: &pool::Pool,
+    target: &record::Target,
+    request: &exchange::Request,
+    account: Option<&name::Account>,
+    limit: time::Duration,
+) -> Result<exchange::Answer> {
+    let connecting = tokio::time::timeout(limit, pool.take(target.address)).await;
+    let Ok(Ok(sender)) = connecting else {
+        return Err(Failure::NotStarted);
+    };
+    let outgoing = outgoing(target, request, account);
+    match tokio::time::timeout(limit, run(pool, target, request, sender, outgoing)).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err(Failure::TimedOut),
+    }
+}
+
+async fn run(
+    pool: &pool::Pool,
+    target: &record::Target,
+    request: &exchange::Request,
+    mut sender: pool::Sender,
+    outgoing: hyper::Request<pool::Body>,
+) -> Result<exchange::Answer> {
+    let response = match sender.try_send_request(outgoing).await {
+        Ok(response) => response,
+        Err(mut error) => return Err(failure(error.take_message().is_some())),
+    };
+    let (head, body) = response.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map_err(|_error| Failure::Unknown)?
+        .to_bytes();
+    pool.give(target.address, sender);
+    if head.headers.contains_key(names::NOT_STARTED) {
+        return Err(Failure::NotStarted);
+    }
+    if is_crossed(&head.headers, &request.id) {
+        return Err(Failure::Unknown);
+    }
+    let name = target.name.clone();
+    Ok(exchange::Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+        target: name,
+    })
+}
+
+/// Returns what a failed send says of a start: an unsent request cannot have started.
+const fn failure(is_unsent: bool) -> Failure {
+    if is_unsent {
+        Failure::NotStarted
+    } else {
+        Failure::Unknown
+    }
+}
+
+/// Returns whether an answer states that it belongs to another request.
+fn is_crossed(headers: &hyper::HeaderMap, id: &str) -> bool {
+    headers
+        .get(names::REQUEST_ID)
+        .is_some_and(|value| value.as_bytes() != id.as_bytes())
+}
+
+fn outgoing(
+    target: &record::Target,
+    request: &exchange::Request,
+    account: Option<&name::Account>,
+) -> hyper::Request<pool::Body> {
+    let mut outgoing = hyper::Request::new(pool::Body::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = origin_form(&request.target);
+    let headers = outgoing.headers_mut();
+    for (name, value) in &request.headers {
+        if is_forwarded(name) {
+            headers.append(name, value.clone());
+        }
+    }
+    set(headers, header::HOST, &target.address.to_string());
+    set(
+        headers,
+        header::HeaderName::from_static(names::REQUEST_ID),
+        &request.id,
+    );
+    if let Some(account) = account {
+        set(
+            headers,
+            header::HeaderName::from_static(names::ACCOUNT),
+            account.as_str(),
+        );
+    }
+    outgoing
+}
+
+/// Returns the path and query alone, as a request to an origin has them.
+fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(hyper::Uri::default, hyper::Uri::from)
+}
+
+/// Returns whether a target may see a header: never one that can hold the caller's key.
+fn is_forwarded(name: &header::HeaderName) -> bool {
+    let is_secret = *name == header::AUTHORIZATION || *name == header::COOKIE;
+    let is_ours = [names::ACCOUNT, names::REQUEST_ID].contains(&name.as_str());
+    let is_length = *name == header::CONTENT_LENGTH || *name == header::HOST;
+    !is_secret && !is_ours && !is_length && !answer::is_hop(name)
+}
+
+fn set(headers: &mut hyper::HeaderMap, name: header::HeaderName, value: &str) {
+    if let Ok(value) = header::HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,76 @@
-//! Placeholder while the workspace is laid out.
+//! Data path on an entry host: from a caller's request to a target's whole answer.
+
+mod admission;
+mod answer;
+mod balance;
+mod control;
+mod error;
+mod exchange;
+mod forward;
+mod identity;
+mod journal;
+mod once;
+mod options;
+mod pipeline;
+mod pool;
+mod serve;
+mod settings;
+mod state;
+mod view;
+
+use std::sync;
+
+use skylark_runtime::admin;
+use skylark_runtime::logs;
+use skylark_runtime::stop;
+use skylark_runtime::supervisor;
+
+pub use error::{Error, Result};
+
+/// Runs the entry process that the command line describes.
+///
+/// # Errors
+///
+/// Fails on wrong settings or an address that cannot be bound.
+pub fn run() -> Result<()> {
+    let options = options::Options::from_args()?;
+    if options.is_check {
+        return Ok(());
+    }
+    logs::init("entry");
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(options.settings.threads)
+        .enable_all()
+        .build()?;
+    runtime.block_on(start(options.settings))
+}
+
+async fn start(settings: settings::Settings) -> Result<()> {
+    let stop = stop::Stop::with_signals()?;
+    let state = sync::Arc::new(state::State::new(settings)?);
+    let listener = serve::bind(state.settings.listen).await?;
+    log::info!(incarnation:% = state.incarnation, listen:% = state.settings.listen; "started");
+    let finished = stop::Stop::new();
+    let mut tree = supervisor::Supervisor::new(finished.clone());
+    supervise(&mut tree, &state);
+    let tasks = tokio::spawn(tree.run());
+    serve::run(listener, &state, &stop).await;
+    journal::flush(&state).await;
+    finished.ask();
+    let _ended = tasks.await;
+    log::info!(incarnation:% = state.incarnation; "stopped");
+    Ok(())
+}
+
+fn supervise(tree: &mut supervisor::Supervisor, state: &sync::Arc<state::State>) {
+    let shared = sync::Arc::clone(state);
+    tree.spawn("control", move || control::serve(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
+    tree.spawn("journal", move || journal::run(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
+    let ready: admin::Ready = sync::Arc::new(move || shared.is_ready());
+    let address = state.settings.admin;
+    tree.spawn("admin", move || {
+        admin::serve(address, sync::Arc::clone(&ready))
+    });
+}
--- /dev/null
+++ b/crates/entry/src/pipeline.rs
@@ -0,0 +1,189 @@
+//! The steps from a caller's request to its answer.
+
+use std::time;
+
+use cadence::CountedExt as _;
+use cadence::Timed as _;
+use http_body_util::BodyExt as _;
+use skylark_core::instant;
+use skylark_core::kind;
+use skylark_core::name;
+use skylark_core::record;
+use skylark_wire::header;
+
+use super::answer;
+use super::exchange;
+use super::forward;
+use super::identity;
+use super::journal;
+use super::once;
+use super::state;
+use super::view;
+
+const BODY_LIMIT_BYTES: usize = 1024 * 1024;
+const TARGETS_PER_REQUEST: usize = 3;
+
+/// Answers one request of a caller.
+pub async fn handle(
+    state: &state::State,
+    incoming: hyper::Request<hyper::body::Incoming>,
+) -> hyper::Response<answer::Body> {
+    let id = state.next_request();
+    let arrived = state.clock.now();
+    let view = state.view();
+    let result = serve(state, &view, &id, arrived, incoming).await;
+    journal::note(state, &id, arrived, &result);
+    measure(state, arrived, &result);
+    match result {
+        Ok(whole) => answer::whole(&id, whole),
+        Err(refusal) => answer::refusal(&id, &refusal),
+    }
+}
+
+fn measure(
+    state: &state::State,
+    arrived: instant::Instant,
+    result: &exchange::Result<exchange::Answer>,
+) {
+    let _sent = state
+        .metrics
+        .time("request", state.clock.now().since(arrived));
+    let counted = match result {
+        Ok(_answer) => state.metrics.incr("answered"),
+        Err(refusal) => state.metrics.incr(&format!("refused.{}", refusal.kind)),
+    };
+    if let Err(error) = counted {
+        log::debug!(error:% = error; "metric not sent");
+    }
+}
+
+async fn serve(
+    state: &state::State,
+    view: &view::View,
+    id: &str,
+    arrived: instant::Instant,
+    incoming: hyper::Request<hyper::body::Incoming>,
+) -> exchange::Result<exchange::Answer> {
+    if !view.is_ready() {
+        return Err(exchange::Refusal::new(kind::ErrorKind::NotReady));
+    }
+    let (head, body) = incoming.into_parts();
+    let place = view.catalog.route(head.method.as_str(), head.uri.path());
+    let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
+    let account = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
+    let limit = timeout(&head.headers, place.service)?;
+    let body = read(body).await?;
+    let request = exchange::Request {
+        id: id.to_owned(),
+        method: head.method,
+        target: head.uri,
+        headers: head.headers,
+        body,
+        deadline: arrived + limit,
+    };
+    if place.route.idempotent {
+        admit(state, account.as_ref())?;
+        return run(state, view, place.service, account.as_ref(), &request).await;
+    }
+    run_once(state, view, place.service, account.as_ref(), &request).await
+}
+
+fn admit(state: &state::State, account: Option<&name::Account>) -> exchange::Result<()> {
+    match account {
+        Some(account) => state.admission.admit(account, state.clock.now()),
+        None => Ok(()),
+    }
+}
+
+fn timeout(
+    headers: &hyper::HeaderMap,
+    service: &record::Service,
+) -> exchange::Result<time::Duration> {
+    let Some(value) = headers.get(header::TIMEOUT) else {
+        return Ok(service.deadline.get());
+    };
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok());
+    let millis = millis.ok_or(exchange::Refusal::new(kind::ErrorKind::BadRequest))?;
+    Ok(time::Duration::from_millis(millis))
+}
+
+async fn read(body: hyper::body::Incoming) -> exchange::Result<bytes::Bytes> {
+    let limited = http_body_util::Limited::new(body, BODY_LIMIT_BYTES);
+    let body = limited.collect().await;
+    let body = body.map_err(|_error| exchange::Refusal::new(kind::ErrorKind::BadRequest))?;
+    Ok(body.to_bytes())
+}
+
+/// Runs a request that may be sent to several targets in turn while none has started it.
+async fn run(
+    state: &state::State,
+    view: &view::View,
+    service: &record::Service,
+    account: Option<&name::Account>,
+    request: &exchange::Request,
+) -> exchange::Result<exchange::Answer> {
+    let mut tried = Vec::new();
+    while tried.len() < TARGETS_PER_REQUEST {
+        let zone = &state.settings.zone;
+        let Some((target, slot)) = state.balance.choose(&view.catalog, service, zone, &tried)
+        else {
+            break;
+        };
+        let left = request.left(state.clock.now());
+        if left.is_zero() {
+            return Err(exchange::Refusal::new(kind::ErrorKind::DeadlineUnmet));
+        }
+        let result = forward::send(&state.pool, &target, request, account, left).await;
+        drop(slot);
+        match result {
+            Ok(answer) => return Ok(answer),
+            Err(forward::Failure::NotStarted) => tried.push(target.name),
+            Err(forward::Failure::Unknown) => {
+                return Err(exchange::Refusal::new(kind::ErrorKind::TargetFailed));
+            }
+            Err(forward::Failure::TimedOut) => {
+                let refusal = exchange::Refusal::new(kind::ErrorKind::DeadlineUnmet);
+                return Err(refusal.with_outcome(kind::Outcome::Unknown));
+            }
+        }
+    }
+    Err(exchange::Refusal::new(kind::ErrorKind::NoTarget))
+}
+
+/// Runs a non-idempotent request, at most once under its idempotency key.
+async fn run_once(
+    state: &state::State,
+    view: &view::View,
+    service: &record::Service,
+    account: Option<&name::Account>,
+    request: &exchange::Request,
+) -> exchange::Result<exchange::Answer> {
+    let bad = exchange::Refusal::new(kind::ErrorKind::BadRequest);
+    let key = request.headers.get(header::IDEMPOTENCY_KEY);
+    let text = key
+        .and_then(|value| value.to_str().ok())
+        .ok_or(bad.clone())?;
+    let account = account.ok_or(bad)?;
+    let home = text.split_once('.').map(|(home, _unique)| home);
+    if home != Some(state.incarnation.as_str()) {
+        return Err(exchange::Refusal::new(kind::ErrorKind::HomeUnreachable));
+    }
+    let key = once::Key {
+        account: account.clone(),
+        text: text.to_owned(),
+    };
+    match state.once.begin(&key)? {
+        once::Begin::Ended(result) => result,
+        once::Begin::Start => {
+            let result = match state.admission.admit(account, state.clock.now()) {
+                Ok(()) => run(state, view, service, Some(account), request).await,
+                Err(refusal) => Err(refusal),
+            };
+            state.once.finish(&key, &result);
+            result
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,43 @@
+//! What the entry process has in force.
+
+use std::sync;
+
+use skylark_core::catalog;
+use skylark_core::instant;
+use skylark_core::unit;
+use skylark_wire::control;
+
+/// Records and hosts in force, with the time of their last proof.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The records.
+    pub catalog: sync::Arc<catalog::Catalog>,
+    /// Entry hosts that are known to serve.
+    pub hosts: sync::Arc<[control::Host]>,
+    /// Instant at or before the last proof that nothing newer was accepted.
+    pub fresh_at: instant::Instant,
+}
+
+impl View {
+    /// Creates the view of a process that was told nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            catalog: sync::Arc::default(),
+            hosts: sync::Arc::new([]),
+            fresh_at: instant::Instant::ORIGIN,
+        }
+    }
+
+    /// Returns whether any records are in force.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.catalog.version > unit::Version::NONE
+    }
+
+    /// Returns whether keys may be checked against the records at `now`.
+    #[must_use]
+    pub fn is_fresh(&self, now: instant::Instant) -> bool {
+        now.since(self.fresh_at) < self.catalog.policy.stale_after.get()
+    }
+}
--- /dev/null
+++ b/crates/lookup/src/answer.rs
@@ -0,0 +1,120 @@
+//! Look-up answers, rendered once for each view and availability zone.
+
+use std::collections;
+
+use bytes::Bytes;
+use skylark_core::catalog;
+use skylark_core::name;
+use skylark_core::record;
+use skylark_core::unit;
+use skylark_wire::control;
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Reply {
+    /// Entry hosts, the best first.
+    pub hosts: Vec<Entry>,
+    /// Incarnation with which the caller begins its idempotency keys.
+    pub home: Option<name::Incarnation>,
+    /// Time for which the caller may keep the answer, in milliseconds.
+    #[serde(rename = "ttl_ms")]
+    pub ttl_millis: u64,
+    /// Version of the records behind the answer.
+    pub version: unit::Version,
+}
+
+/// One entry host of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    /// Name of the entry host.
+    pub host: name::Host,
+    /// Availability zone of the entry host.
+    pub zone: name::Zone,
+    /// Address that takes requests.
+    pub address: record::Address,
+}
+
+/// Rendered answers for callers of each availability zone.
+#[derive(Clone, Debug, Default)]
+pub struct Answers {
+    zones: collections::BTreeMap<name::Zone, Vec<Bytes>>,
+}
+
+impl Answers {
+    /// Renders the answers of a view.
+    #[must_use]
+    pub fn new(catalog: &catalog::Catalog, hosts: &[control::Host]) -> Self {
+        let serving: Vec<&control::Host> = hosts
+            .iter()
+            .filter(|host| is_named(catalog, host))
+            .collect();
+        let render = |zone: &name::Zone| (zone.clone(), rotations(catalog, &serving, zone));
+        Self {
+            zones: catalog.zones.keys().map(render).collect(),
+        }
+    }
+
+    /// Returns an answer for a caller of the zone; `turn` spreads callers over equal hosts.
+    #[must_use]
+    pub fn get(&self, zone: &str, turn: usize) -> Option<Bytes> {
+        let zone = name::Zone::new(zone).ok()?;
+        let answers = self.zones.get(&zone)?;
+        answers.get(turn % answers.len().max(1)).cloned()
+    }
+}
+
+/// Returns whether look-up answers name a host: it serves and no record drains it.
+fn is_named(catalog: &catalog::Catalog, host: &control::Host) -> bool {
+    let is_drained = catalog.drains.iter().any(|drain| match &drain.subject {
+        record::Subject::Host(name) => *name == host.host,
+        record::Subject::Zone(zone) => *zone == host.zone,
+        record::Subject::Target(_) => false,
+    });
+    host.phase == control::Phase::Serving && !is_drained
+}
+
+/// Renders one answer for each host that may come first for the zone.
+fn rotations(
+    catalog: &catalog::Catalog,
+    hosts: &[&control::Host],
+    zone: &name::Zone,
+) -> Vec<Bytes> {
+    let mut ranked = hosts.to_vec();
+    ranked.sort_by_key(|host| (rank(catalog, zone, host), host.host.clone()));
+    let best = ranked.first().map(|host| rank(catalog, zone, host));
+    let equals = ranked
+        .iter()
+        .filter(|host| Some(rank(catalog, zone, host)) == best)
+        .count();
+    let turn = |first: usize| {
+        let mut order = ranked.clone();
+        order[..equals].rotate_left(first);
+        render(catalog, &order)
+    };
+    (0..equals.max(1)).map(turn).collect()
+}
+
+/// How far a host is from callers of a zone: 0 same zone, 1 same region, 2 elsewhere.
+fn rank(catalog: &catalog::Catalog, zone: &name::Zone, host: &control::Host) -> u8 {
+    if host.zone == *zone {
+        return 0;
+    }
+    let is_near = catalog.zones.get(zone) == catalog.zones.get(&host.zone);
+    if is_near { 1 } else { 2 }
+}
+
+fn render(catalog: &catalog::Catalog, order: &[&control::Host]) -> Bytes {
+    let entry = |host: &&control::Host| Entry {
+        host: host.host.clone(),
+        zone: host.zone.clone(),
+        address: host.ports.entry,
+    };
+    let ttl = catalog.policy.answer_ttl.get().as_millis();
+    let reply = Reply {
+        hosts: order.iter().map(entry).collect(),
+        home: order.first().map(|host| host.incarnation.clone()),
+        ttl_millis: u64::try_from(ttl).unwrap_or(u64::MAX),
+        version: catalog.version,
+    };
+    serde_json::to_vec(&reply).unwrap_or_default().into()
+}
--- a/crates/lookup/src/lib.rs
+++ b/crates/lookup/src/lib.rs
@@ -1,1 +1,58 @@
-//! Placeholder while the workspace is laid out.
+//! Answers callers which entry hosts to use, in which order and for how long.
+
+mod answer;
+mod control;
+mod error;
+mod options;
+mod serve;
+mod settings;
+mod state;
+
+use std::sync;
+
+use skylark_runtime::admin;
+use skylark_runtime::logs;
+use skylark_runtime::stop;
+use skylark_runtime::supervisor;
+
+pub use answer::{Answers, Entry, Reply};
+pub use error::{Error, Result};
+
+/// Runs the look-up process that the command line describes.
+///
+/// # Errors
+///
+/// Fails on wrong settings or an address that cannot be bound.
+pub fn run() -> Result<()> {
+    let options = options::Options::from_args()?;
+    if options.is_check {
+        return Ok(());
+    }
+    logs::init("lookup");
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(options.settings.threads)
+        .enable_all()
+        .build()?;
+    runtime.block_on(start(options.settings))
+}
+
+async fn start(settings: settings::Settings) -> Result<()> {
+    let stop = stop::Stop::with_signals()?;
+    let listener = serve::bind(settings.listen).await?;
+    log::info!(listen:% = settings.listen; "started");
+    let state = sync::Arc::new(state::State::new(settings)?);
+    let mut tree = supervisor::Supervisor::new(stop.clone());
+    let shared = sync::Arc::clone(&state);
+    tree.spawn("control", move || control::serve(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(&state);
+    let ready: admin::Ready = sync::Arc::new(move || shared.is_ready());
+    let address = state.settings.admin;
+    tree.spawn("admin", move || {
+        admin::serve(address, sync::Arc::clone(&ready))
+    });
+    let tasks = tokio::spawn(tree.run());
+    serve::run(listener, &state, &stop).await;
+    let _ended = tasks.await;
+    log::info!("stopped");
+    Ok(())
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder while the workspace is laid out.
+//! What every daemon of skylarkmount shares around its own tasks.
+
+pub mod admin;
+pub mod clock;
+pub mod error;
+pub mod identity;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
+pub mod stop;
+pub mod supervisor;
--- /dev/null
+++ b/crates/steer/src/settings.rs
@@ -0,0 +1,53 @@
+//! Settings of the control process.
+
+use skylark_core::name;
+use skylark_core::record;
+use skylark_core::unit;
+use skylark_wire::control;
+
+/// What a control process is told by its settings file.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the entry host.
+    pub host: name::Host,
+    /// Availability zone of the entry host.
+    pub zone: name::Zone,
+    /// Addresses of the host's processes, as other hosts reach them.
+    pub ports: control::Ports,
+    /// Address on which the look-up process takes control calls.
+    #[serde(rename = "lookup_control")]
+    pub lookup_control: record::Address,
+    /// Address of health and readiness.
+    pub admin: record::Address,
+    /// Base address of the platform, such as `http://127.10.0.1:7000`.
+    pub platform: String,
+    /// Pause between two reads of the newest version.
+    #[serde(default = "default_poll")]
+    pub poll: unit::Span,
+    /// Pause between two heartbeats.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat: unit::Span,
+    /// Address that takes metrics as statsd datagrams; none sends none.
+    #[serde(default)]
+    pub statsd: Option<record::Address>,
+    /// Worker threads.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+}
+
+const DEFAULT_POLL_MILLIS: u64 = 500;
+const DEFAULT_HEARTBEAT_MILLIS: u64 = 2_000;
+const DEFAULT_THREADS: usize = 1;
+
+const fn default_poll() -> unit::Span {
+    unit::Span::from_millis(DEFAULT_POLL_MILLIS)
+}
+
+const fn default_heartbeat() -> unit::Span {
+    unit::Span::from_millis(DEFAULT_HEARTBEAT_MILLIS)
+}
+
+const fn default_threads() -> usize {
+    DEFAULT_THREADS
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -1,5 +1,6 @@
 //! What a host's control process tells the host's entry and look-up processes.
 
+use skylark_core::instant;
 use skylark_core::name;
 use skylark_core::record;
 use skylark_core::unit;
@@ -7,6 +8,9 @@
 /// The service that entry and look-up processes offer on their control address.
 #[tarpc::service]
 pub trait Control {
+    /// Tells the present time of the receiver's monotonic clock.
+    async fn clock() -> instant::Instant;
+
     /// Puts a view in force; an older version than the one in force is ignored.
     async fn install(view: View) -> Installed;
 }
@@ -18,8 +22,8 @@
     pub version: unit::Version,
     /// The records, absent where the receiver holds this version.
     pub records: Option<Vec<record::Document>>,
-    /// Age of the last proof that no newer version was accepted, in milliseconds.
-    pub age_millis: u64,
+    /// Instant on the receiver's clock at or before the last proof that nothing newer exists.
+    pub fresh_at: instant::Instant,
     /// Entry hosts that are known to serve.
     pub hosts: Vec<Host>,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod http;
 pub mod platform;
 pub mod problem;
+pub mod rpc;
