--- /dev/null
+++ b/crates/cli/src/table.rs
@@ -0,0 +1,34 @@
+//! Tables for people.
+
+use std::io;
+use std::io::Write as _;
+
+use super::error;
+
+/// Prints a heading and rows with aligned columns.
+///
+/// # Errors
+///
+/// Fails when the output cannot be written.
+pub fn print(heading: &[&str], rows: &[Vec<String>]) -> error::Result<()> {
+    let heading: Vec<String> = heading.iter().map(|cell| cell.to_uppercase()).collect();
+    let widths: Vec<usize> = (0..heading.len())
+        .map(|column| {
+            let cells = rows.iter().chain([&heading]);
+            cells
+                .filter_map(|row| row.get(column))
+                .map(|cell| cell.chars().count())
+                .max()
+                .unwrap_or(0)
+        })
+        .collect();
+    let mut out = io::stdout().lock();
+    for row in [&heading].into_iter().chain(rows) {
+        let cells = row.iter().zip(&widths);
+        let line: Vec<String> = cells
+            .map(|(cell, width)| format!("{cell:<width$}"))
+            .collect();
+        writeln!(out, "{}", line.join("  ").trim_end())?;
+    }
+    Ok(())
+}
--- a/crates/core/src/record/document.rs
+++ b/crates/core/src/record/document.rs
@@ -39,6 +39,23 @@
     /// The newest schema version that this build writes.
     pub const SCHEMA: u32 = 1;
 
+    /// Creates a document of the newest schema that holds no record yet.
+    #[must_use]
+    pub const fn empty() -> Self {
+        Self {
+            schema: Self::SCHEMA,
+            account: None,
+            key: None,
+            region: None,
+            link: None,
+            service: None,
+            target: None,
+            shift: None,
+            drain: None,
+            policy: None,
+        }
+    }
+
     /// Returns the record's identity, `kind/name`, or nothing unless exactly one kind is present.
     #[must_use]
     pub fn id(&self) -> Option<String> {
--- /dev/null
+++ b/src/bin/skylark.rs
@@ -0,0 +1,10 @@
+//! The operator's command line.
+
+use std::process;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> process::ExitCode {
+    skylark_cli::run()
+}
