Add the decision record, its digest and its replay

A decision holds the steps taken with the inputs that each pure function saw; replay runs choice and admission again, re-draws the random positions from the request's id, and checks names, slots and drains against the records of the version. Candidates are indices into the service's targets in order of name, so that the hot path copies numbers only.

--- /dev/null
+++ b/crates/core/src/decision/replay.rs
@@ -0,0 +1,228 @@
+//! Running a decision again from its record.
+
+use std::collections;
+use std::fmt;
+
+use crate::catalog;
+use crate::kind;
+use crate::name;
+use crate::record;
+use crate::steer;
+use crate::unit;
+
+use super::Decision;
+use super::sent;
+use super::step;
+use super::verdict;
+
+/// What running a decision again came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Replay {
+    /// Every step and the verdict came out as recorded.
+    Same,
+    /// Something came out otherwise.
+    Differs(Vec<Difference>),
+    /// The records given are of another version than the decision's.
+    OtherVersion {
+        /// Version that the decision used.
+        recorded: unit::Version,
+        /// Version of the records given.
+        given: unit::Version,
+    },
+    /// The record has a newer schema than this build reads.
+    NewerSchema(u32),
+}
+
+/// One thing that came out otherwise than recorded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Difference {
+    /// The digest does not fit the record.
+    Digest,
+    /// The seed does not come from the request's id.
+    Seed,
+    /// A name in the record is in no record of the configuration.
+    Name(String),
+    /// The step with this number does not fit the records or comes out otherwise.
+    Step(usize),
+    /// The steps do not lead to the verdict.
+    Verdict,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Digest => f.write_str("the digest does not fit the record"),
+            Self::Seed => f.write_str("the seed does not come from the request's id"),
+            Self::Name(name) => write!(f, "'{name}' is in no record of this version"),
+            Self::Step(number) => write!(f, "step {number} comes out otherwise"),
+            Self::Verdict => f.write_str("the steps do not lead to the verdict"),
+        }
+    }
+}
+
+impl Decision {
+    /// Runs the decision again with the records of its version.
+    #[must_use]
+    pub fn replay(&self, catalog: &catalog::Catalog) -> Replay {
+        if self.schema > Self::SCHEMA {
+            return Replay::NewerSchema(self.schema);
+        }
+        if self.version != catalog.version {
+            return Replay::OtherVersion {
+                recorded: self.version,
+                given: catalog.version,
+            };
+        }
+        let differences = self.differences(catalog);
+        if differences.is_empty() {
+            return Replay::Same;
+        }
+        Replay::Differs(differences)
+    }
+
+    fn differences(&self, catalog: &catalog::Catalog) -> Vec<Difference> {
+        let mut found = Vec::new();
+        if self.fingerprint() != self.digest {
+            found.push(Difference::Digest);
+        }
+        if steer::Seed::of(&self.id) != self.seed {
+            found.push(Difference::Seed);
+        }
+        found.extend(self.unknown_names(catalog));
+        let targets = self.targets(catalog);
+        let mut tried = collections::BTreeSet::new();
+        for (number, step) in self.steps.iter().enumerate() {
+            if !self.is_same(step, catalog, &targets, &tried) {
+                found.push(Difference::Step(number));
+            }
+            if let step::Step::Send { target, .. } = step {
+                tried.insert(target.clone());
+            }
+        }
+        if !self.leads_to_verdict(&targets) {
+            found.push(Difference::Verdict);
+        }
+        found
+    }
+
+    fn unknown_names(&self, catalog: &catalog::Catalog) -> Vec<Difference> {
+        let service = self
+            .service
+            .as_ref()
+            .filter(|name| !catalog.services.contains_key(*name))
+            .map(|name| Difference::Name(name.to_string()));
+        let account = self
+            .account
+            .as_ref()
+            .filter(|name| !catalog.accounts.contains_key(*name))
+            .map(|name| Difference::Name(name.to_string()));
+        service.into_iter().chain(account).collect()
+    }
+
+    /// Returns the service's targets in the order that candidates index.
+    fn targets<'a>(&self, catalog: &'a catalog::Catalog) -> Vec<&'a record::Target> {
+        let service = self.service.as_ref();
+        catalog
+            .targets
+            .values()
+            .filter(|target| Some(&target.service) == service)
+            .collect()
+    }
+
+    fn is_same(
+        &self,
+        step: &step::Step,
+        catalog: &catalog::Catalog,
+        targets: &[&record::Target],
+        tried: &collections::BTreeSet<name::Target>,
+    ) -> bool {
+        match step {
+            step::Step::Choose { inputs, choice } => {
+                let candidates = || inputs.tiers.iter().flat_map(|tier| &tier.drawn);
+                let fits = candidates().all(|known| {
+                    let target = targets.get(known.index as usize);
+                    target.is_some_and(|target| {
+                        known.slots == target.slots
+                            && !catalog.is_drained(target)
+                            && known.is_tried == tried.contains(&target.name)
+                    })
+                });
+                fits && inputs.seed == self.seed && inputs.is_sound() && inputs.choose() == *choice
+            }
+            step::Step::Admit { inputs, ruling } => {
+                let bound = self
+                    .service
+                    .as_ref()
+                    .and_then(|name| catalog.services.get(name))
+                    .map(|service| service.queue);
+                bound == Some(inputs.bound) && inputs.decide() == *ruling
+            }
+            step::Step::Send { target, .. } => targets.iter().any(|known| known.name == *target),
+            step::Step::Check { .. }
+            | step::Step::Waited { .. }
+            | step::Step::Dropped { .. }
+            | step::Step::Exhausted { .. } => true,
+        }
+    }
+
+    fn leads_to_verdict(&self, targets: &[&record::Target]) -> bool {
+        self.sends_follow_choices(targets)
+            && match &self.verdict {
+                verdict::Verdict::Served { target, status } => matches!(
+                    self.steps.last(),
+                    Some(step::Step::Send { target: last, end: sent::Sent::Answered(code), .. })
+                        if last == target && code == status
+                ),
+                verdict::Verdict::Refused { kind, .. } => {
+                    self.steps.last().is_some_and(|step| gives(step, *kind))
+                }
+            }
+    }
+
+    /// Returns whether each exchange was with the target chosen just before.
+    fn sends_follow_choices(&self, targets: &[&record::Target]) -> bool {
+        let follows = |step: &step::Step, sent: &name::Target| match step {
+            step::Step::Choose {
+                choice: steer::Choice::Target(index),
+                ..
+            } => targets
+                .get(*index as usize)
+                .is_some_and(|target| target.name == *sent),
+            _ => false,
+        };
+        (0..self.steps.len()).all(|number| match &self.steps[number] {
+            step::Step::Send { target, .. } => {
+                number > 0 && follows(&self.steps[number - 1], target)
+            }
+            _ => true,
+        })
+    }
+}
+
+/// Returns whether a request that ends with this step is refused with this kind.
+fn gives(step: &step::Step, kind: kind::ErrorKind) -> bool {
+    use kind::ErrorKind;
+    match step {
+        step::Step::Check { kind: recorded }
+        | step::Step::Dropped { kind: recorded, .. }
+        | step::Step::Exhausted { kind: recorded } => *recorded == kind,
+        step::Step::Admit { ruling, .. } => *ruling == steer::Ruling::Refuse(kind),
+        step::Step::Choose { choice, .. } => match choice {
+            steer::Choice::Late => kind == ErrorKind::DeadlineUnmet,
+            steer::Choice::Nowhere => kind == ErrorKind::NoTarget,
+            steer::Choice::Full => kind == ErrorKind::Overloaded,
+            steer::Choice::Target(_) => false,
+        },
+        step::Step::Send { end, .. } => match end {
+            sent::Sent::Broken => kind == ErrorKind::TargetFailed,
+            sent::Sent::Expired => {
+                matches!(kind, ErrorKind::DeadlineUnmet | ErrorKind::TargetFailed)
+            }
+            sent::Sent::NotStarted => {
+                matches!(kind, ErrorKind::Overloaded | ErrorKind::NoTarget)
+            }
+            sent::Sent::Answered(_) => false,
+        },
+        step::Step::Waited { .. } => false,
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! value that can be compared, so that any decision can be run again.
 
 pub mod catalog;
+pub mod decision;
 pub mod error;
 pub mod instant;
 pub mod kind;
@@ -11,5 +12,6 @@
 pub mod name;
 pub mod record;
 pub mod secret;
+pub mod steer;
 pub mod timestamp;
 pub mod unit;
--- /dev/null
+++ b/crates/core/src/steer/candidate.rs
@@ -0,0 +1,74 @@
+//! What an entry host knows of one target when it chooses.
+
+/// Age at which a load report counts for nothing, in microseconds.
+pub const REPORT_HORIZON: u32 = 2_000_000;
+
+const FAULT_WEIGHT: u64 = 8;
+
+/// One drawn target, with what the host knew of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Candidate {
+    /// Index of the target among the service's targets, in order of name.
+    pub index: u32,
+    /// Position among the tier's usable targets.
+    pub position: u32,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// Requests of this host that are on the target.
+    pub own: u32,
+    /// Requests of other hosts on the target, by its last report.
+    pub others: u32,
+    /// Age of that report, in microseconds.
+    #[serde(rename = "age_us")]
+    pub age: u32,
+    /// Time in which the target answers, as this host saw it, in microseconds.
+    #[serde(rename = "service_us")]
+    pub service: u32,
+    /// Recent failures of exchanges with the target, in basis points.
+    pub faults: u32,
+    /// Recent refusals by the target for want of room, in basis points.
+    pub sheds: u32,
+    /// Part of its slots that the target is trusted with, in basis points.
+    pub warmth: u32,
+    /// Whether the request was sent to this target before.
+    pub is_tried: bool,
+}
+
+impl Candidate {
+    /// Returns the load to reckon with: own requests and a belief about others.
+    ///
+    /// A report loses weight with age. Refusals for want of room contradict a
+    /// low report, so they set a floor under the belief.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        let weight = u64::from(REPORT_HORIZON.saturating_sub(self.age));
+        let told = u64::from(self.others) * weight / u64::from(REPORT_HORIZON);
+        let floor = u64::from(self.slots) * u64::from(self.sheds) / u64::from(super::WHOLE);
+        let others = u32::try_from(told.max(floor)).unwrap_or(u32::MAX);
+        self.own.saturating_add(others)
+    }
+
+    /// Returns the slots that the target is trusted with, at least one.
+    #[must_use]
+    pub fn width(&self) -> u32 {
+        let part = u64::from(self.slots) * u64::from(self.warmth) / u64::from(super::WHOLE);
+        u32::try_from(part).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Returns the slots that are believed to be free.
+    #[must_use]
+    pub fn room(&self) -> u32 {
+        self.width().saturating_sub(self.load())
+    }
+
+    /// Returns what one more request costs here; only comparison has a meaning.
+    #[must_use]
+    pub fn cost(&self) -> u64 {
+        let whole = u64::from(super::WHOLE);
+        let width = u64::from(self.width());
+        let crowd = width + u64::from(self.load());
+        let faults = whole + FAULT_WEIGHT * u64::from(self.faults);
+        let time = u64::from(self.service.max(1));
+        time.saturating_mul(crowd).saturating_mul(faults) / width
+    }
+}
--- /dev/null
+++ b/crates/core/src/steer/draw.rs
@@ -0,0 +1,86 @@
+//! Random draws that come again from the id of the request.
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+use crate::name;
+
+use super::tier;
+
+const CONTEXT: &str = "skylarkmount 2026 draws of a request v1";
+const STREAM_BITS: u32 = 8;
+
+/// The seed of every draw made for one request.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Seed(u64);
+
+/// Positions that were drawn, all different.
+pub type Positions = arrayvec::ArrayVec<u32, { tier::MAX_DRAWN }>;
+
+impl Seed {
+    /// Creates a seed from its number.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Derives the seed of a request from its id.
+    #[must_use]
+    pub fn of(id: &name::Request) -> Self {
+        let hash = blake3::Hasher::new_derive_key(CONTEXT)
+            .update(id.as_str().as_bytes())
+            .finalize();
+        let mut bytes = [0; size_of::<u64>()];
+        bytes.copy_from_slice(&hash.as_bytes()[..size_of::<u64>()]);
+        Self(u64::from_le_bytes(bytes))
+    }
+
+    /// Returns the number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// Draws a basis point below the whole, the same for every attempt.
+    #[must_use]
+    pub fn basis_point(self) -> u32 {
+        self.stream(0).random_range(0..super::WHOLE)
+    }
+
+    /// Draws different positions below `count` for a tier of an attempt.
+    ///
+    /// All positions are returned, in drawn order, where `count` is small.
+    #[must_use]
+    pub fn positions(self, attempt: u8, tier: u8, count: u32) -> Positions {
+        let wanted = usize::try_from(count).map_or(tier::MAX_DRAWN, |n| n.min(tier::MAX_DRAWN));
+        let stream = 1 + (u64::from(attempt) << STREAM_BITS) + u64::from(tier);
+        let mut rng = self.stream(stream);
+        let mut drawn = Positions::new();
+        while drawn.len() < wanted {
+            let position = rng.random_range(0..count);
+            if !drawn.contains(&position) {
+                drawn.push(position);
+            }
+        }
+        drawn
+    }
+
+    fn stream(self, number: u64) -> rand_chacha::ChaCha8Rng {
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(self.0);
+        rng.set_stream(number);
+        rng
+    }
+}
--- /dev/null
+++ b/crates/core/tests/decision.rs
@@ -0,0 +1,226 @@
+//! A recorded decision runs again to the same end, and a changed one does not.
+
+use skylark_core::catalog;
+use skylark_core::decision;
+use skylark_core::kind;
+use skylark_core::name;
+use skylark_core::record;
+use skylark_core::steer;
+use skylark_core::timestamp;
+use skylark_core::unit;
+
+const RECORDS: &str = "schema: 1
+region: {name: khulna, zones: [khu-rupsa], delay: 3ms}
+---
+schema: 1
+account: {name: guild, rate: 100/s, burst: 200}
+---
+schema: 1
+service:
+  name: stock
+  routes:
+    - {methods: [GET], path: /stock, access: keyed, idempotent: true}
+  deadline: 2s
+  queue: 64
+  objective: {good: 99.9%, within: 250ms}
+---
+schema: 1
+target: {name: stock-1, service: stock, zone: khu-rupsa, address: '127.0.0.1:9001', slots: 5, connections: 330}
+---
+schema: 1
+target: {name: stock-2, service: stock, zone: khu-rupsa, address: '127.0.0.1:9002', slots: 3, connections: 330}
+---
+schema: 1
+target: {name: stock-3, service: stock, zone: khu-rupsa, address: '127.0.0.1:9003', slots: 8, connections: 330}
+";
+
+const SLOTS: [u32; 3] = [5, 3, 8];
+
+fn catalog() -> catalog::Catalog {
+    let documents = record::parse(RECORDS).expect("the records are well formed");
+    catalog::Catalog::new(unit::Version::new(7), &documents).expect("the records agree")
+}
+
+/// Makes the record of one request as an entry host would, from arbitrary loads.
+fn honest(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<decision::Decision> {
+    let number: u32 = u.arbitrary()?;
+    let id = name::Request::new(&format!("r{number}")).expect("a name");
+    let seed = steer::Seed::of(&id);
+    let remaining = u.int_in_range(1_000..=2_000_000)?;
+    let mut inputs = steer::Inputs::new(seed, 1, remaining);
+    let mut tier = steer::Tier {
+        usable: 3,
+        delay: 500,
+        is_allowed: true,
+        ..steer::Tier::default()
+    };
+    for position in seed.positions(1, tier.number, tier.usable) {
+        tier.drawn.push(steer::Candidate {
+            index: position,
+            position,
+            slots: SLOTS[position as usize],
+            own: u.int_in_range(0..=8)?,
+            others: u.int_in_range(0..=8)?,
+            age: u.int_in_range(0..=3_000_000)?,
+            service: u.int_in_range(1_000..=50_000)?,
+            faults: u.int_in_range(0..=10_000)?,
+            sheds: u.int_in_range(0..=10_000)?,
+            warmth: u.int_in_range(1_000..=10_000)?,
+            is_tried: false,
+        });
+    }
+    inputs.tiers.push(tier);
+    let choice = inputs.choose();
+    let mut steps = vec![decision::Step::Choose {
+        inputs: Box::new(inputs),
+        choice,
+    }];
+    let verdict = match choice {
+        steer::Choice::Target(index) => {
+            let target = name::Target::new(&format!("stock-{}", index + 1)).expect("a name");
+            steps.push(decision::Step::Send {
+                target: target.clone(),
+                end: decision::Sent::Answered(200),
+                time: 4_000,
+            });
+            decision::Verdict::Served {
+                target,
+                status: 200,
+            }
+        }
+        steer::Choice::Full => refused(kind::ErrorKind::Overloaded),
+        steer::Choice::Late => refused(kind::ErrorKind::DeadlineUnmet),
+        steer::Choice::Nowhere => refused(kind::ErrorKind::NoTarget),
+    };
+    Ok(sealed(id, seed, steps, verdict))
+}
+
+fn refused(kind: kind::ErrorKind) -> decision::Verdict {
+    decision::Verdict::Refused {
+        kind,
+        outcome: kind::Outcome::NotRun,
+    }
+}
+
+fn sealed(
+    id: name::Request,
+    seed: steer::Seed,
+    steps: Vec<decision::Step>,
+    verdict: decision::Verdict,
+) -> decision::Decision {
+    decision::Decision {
+        schema: decision::Decision::SCHEMA,
+        id,
+        at: timestamp::Timestamp::from_millis(1_000),
+        host: name::Host::new("entry-1").expect("a name"),
+        incarnation: name::Incarnation::new("entry-1-1").expect("a name"),
+        version: unit::Version::new(7),
+        plan: None,
+        service: name::Service::new("stock").ok(),
+        account: name::Account::new("guild").ok(),
+        seed,
+        deadline: Some(2_000_000),
+        steps,
+        verdict,
+        latency: 4_200,
+        digest: decision::Digest::NONE,
+    }
+    .sealed()
+}
+
+#[test]
+fn an_untouched_decision_replays_the_same_after_a_round_trip() {
+    let catalog = catalog();
+    arbtest::arbtest(|u| {
+        let made = honest(u)?;
+        let text = serde_json::to_string(&made).expect("a record is written");
+        let read: decision::Decision = serde_json::from_str(&text).expect("a record is read");
+        assert_eq!(read, made);
+        assert_eq!(read.replay(&catalog), decision::Replay::Same, "{text}");
+        Ok(())
+    });
+}
+
+#[test]
+fn a_changed_record_differs() {
+    let catalog = catalog();
+    arbtest::arbtest(|u| {
+        let made = honest(u)?;
+        let mut changed = made.clone();
+        match u.int_in_range(0..=4)? {
+            0 => changed.latency += 1,
+            1 => changed.account = None,
+            2 => changed.verdict = refused(kind::ErrorKind::OverRate),
+            3 => changed.id = name::Request::new("another").expect("a name"),
+            _ => changed.steps.clear(),
+        }
+        assert_differs(&changed, &catalog);
+        Ok(())
+    });
+}
+
+/// A forger who seals the record again is still found out by the function itself.
+#[test]
+fn a_record_sealed_again_after_a_change_differs() {
+    let catalog = catalog();
+    arbtest::arbtest(|u| {
+        let mut changed = honest(u)?;
+        let Some(decision::Step::Choose { inputs, choice }) = changed.steps.first_mut() else {
+            unreachable!("the first step is a choice");
+        };
+        match u.int_in_range(0..=4)? {
+            0 => {
+                *choice = match choice {
+                    steer::Choice::Target(index) => steer::Choice::Target((*index + 1) % 3),
+                    _ => steer::Choice::Target(0),
+                };
+            }
+            1 => inputs.seed = steer::Seed::new(inputs.seed.get() ^ 1),
+            2 => inputs.tiers[0].drawn[0].slots += 1,
+            3 => inputs.tiers[0].drawn.swap(0, 1),
+            _ => inputs.tiers[0].usable -= 1,
+        }
+        assert_differs(&changed.sealed(), &catalog);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_choice_of_a_drained_target_differs() {
+    let drain = "---\nschema: 1\ndrain: {name: d, subject: !target stock-1}\n";
+    let documents = record::parse(&format!("{RECORDS}{drain}")).expect("well formed");
+    let drained = catalog::Catalog::new(unit::Version::new(7), &documents).expect("they agree");
+    arbtest::arbtest(|u| {
+        assert_differs(&honest(u)?, &drained);
+        Ok(())
+    });
+}
+
+#[test]
+fn records_of_another_version_are_told_apart() {
+    let mut other = catalog();
+    other.version = unit::Version::new(8);
+    arbtest::arbtest(|u| {
+        let replay = honest(u)?.replay(&other);
+        assert!(matches!(replay, decision::Replay::OtherVersion { .. }));
+        Ok(())
+    });
+}
+
+#[test]
+fn a_record_of_schema_one_stays_readable() {
+    let read: decision::Decision =
+        serde_json::from_str(include_str!("data/decision-1.json")).expect("schema 1 is read");
+    assert_eq!(read.schema, 1);
+    assert_eq!(read.replay(&catalog()), decision::Replay::Same);
+}
+
+fn assert_differs(changed: &decision::Decision, catalog: &catalog::Catalog) {
+    let replay = changed.replay(catalog);
+    assert!(
+        matches!(replay, decision::Replay::Differs(_)),
+        "{replay:?} for {changed:?}"
+    );
+}
