--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -37,6 +37,8 @@
 pub struct Reply {
     /// Status code.
     pub status: u16,
+    /// Headers.
+    pub headers: hyper::HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -60,6 +62,18 @@
             .uri(url)
             .header(hyper::header::CONTENT_TYPE, "application/json")
             .body(http_body_util::Full::new(Bytes::from(body)))?;
+        self.call(request).await
+    }
+
+    /// Sends one request with headers of the caller's own and waits for its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no whole answer arrives in time; the request may still have taken effect.
+    pub async fn call(
+        &self,
+        request: hyper::Request<http_body_util::Full<Bytes>>,
+    ) -> Result<Reply> {
         let exchange = self.exchange(request);
         match tokio::time::timeout(self.limit, exchange).await {
             Ok(reply) => reply,
@@ -78,6 +92,7 @@
             .await
             .map_err(|error| fault(&error))?;
         let status = answer.status().as_u16();
+        let headers = answer.headers().clone();
         let body = answer
             .into_body()
             .collect()
@@ -85,6 +100,7 @@
             .map_err(|error| fault(&error))?;
         Ok(Reply {
             status,
+            headers,
             body: body.to_bytes(),
         })
     }
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,467 @@
+//! A small deployment of real processes on loopback, for tests.
+
+#![allow(dead_code, reason = "each test binary uses a part of the helper")]
+
+use std::fmt::Write as _;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+use http_body_util::Full;
+use skylark_wire::header;
+use skylark_wire::http;
+
+const ENTRY_PORT: u16 = 8000;
+const CONTROL_PORT: u16 = 8001;
+const LOOKUP_PORT: u16 = 8002;
+const STEER_PORT: u16 = 8003;
+const LOOKUP_CONTROL_PORT: u16 = 8004;
+const ADMIN_PORT: u16 = 8010;
+const TARGET_PORT: u16 = 9000;
+const PLATFORM_PORT: u16 = 7000;
+const LOCK_PORT: u16 = 6999;
+const FIRST_HOST: u8 = 10;
+const FIRST_TARGET: u8 = 100;
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(10);
+const WAIT_LIMIT: time::Duration = time::Duration::from_secs(20);
+const WAIT_STEP: time::Duration = time::Duration::from_millis(20);
+
+/// Availability zones of the small deployment, two regions of two zones.
+pub const ZONES: [&str; 4] = ["east-a", "east-b", "west-a", "west-b"];
+
+/// A caller's key of the small deployment.
+pub const KEY: &str = "key-of-shop";
+
+/// A deployment whose processes end with it.
+pub struct Fleet {
+    /// Platform, targets and the daemons of each entry host.
+    pub hosts: Vec<Host>,
+    /// Address of the platform.
+    pub platform: String,
+    /// The platform's process.
+    pub store: process::Child,
+    /// The targets' process.
+    pub targets: process::Child,
+    /// Client for calls.
+    pub http: http::Client,
+    network: Network,
+    folder: tempfile::TempDir,
+}
+
+/// The daemons of one entry host.
+pub struct Host {
+    /// Name of the entry host.
+    pub name: String,
+    /// Availability zone of the entry host.
+    pub zone: String,
+    /// IP address of the entry host.
+    pub ip: net::Ipv4Addr,
+    /// The entry process.
+    pub entry: process::Child,
+    /// The look-up process.
+    pub lookup: process::Child,
+    /// The control process.
+    pub steer: process::Child,
+}
+
+/// A block of loopback addresses that no other test uses meanwhile.
+struct Network {
+    prefix: [u8; 3],
+    _lock: net::TcpListener,
+}
+
+impl Network {
+    fn new() -> Self {
+        let start = process::id();
+        for step in 0..100_000_u32 {
+            let number = start.wrapping_mul(7).wrapping_add(step.wrapping_mul(251));
+            let bytes = number.to_be_bytes();
+            let prefix = [127, 100 + bytes[2] % 100, bytes[3]];
+            let address = net::Ipv4Addr::new(prefix[0], prefix[1], prefix[2], 1);
+            if let Ok(lock) = net::TcpListener::bind((address, LOCK_PORT)) {
+                return Self {
+                    prefix,
+                    _lock: lock,
+                };
+            }
+        }
+        panic!("no free block of loopback addresses");
+    }
+
+    fn ip(&self, last: u8) -> net::Ipv4Addr {
+        net::Ipv4Addr::new(self.prefix[0], self.prefix[1], self.prefix[2], last)
+    }
+}
+
+impl Host {
+    /// Returns the address of callers' requests.
+    pub fn entry_url(&self, path: &str) -> String {
+        format!("http://{}:{ENTRY_PORT}{path}", self.ip)
+    }
+
+    /// Returns the address of look-ups from a zone.
+    pub fn lookup_url(&self, zone: &str) -> String {
+        format!("http://{}:{LOOKUP_PORT}/entry-hosts?zone={zone}", self.ip)
+    }
+
+    /// Ends every daemon of the host at once.
+    pub fn kill(&mut self) {
+        for child in [&mut self.entry, &mut self.lookup, &mut self.steer] {
+            let _ended = child.kill();
+            let _reaped = child.wait();
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a platform, four targets a service, and an entry host in each given zone.
+    pub async fn start(zones: &[&str]) -> Self {
+        Self::with_records(zones, "").await
+    }
+
+    /// Starts the deployment with more records, which replace those of the same name.
+    pub async fn with_records(zones: &[&str], more: &str) -> Self {
+        let network = Network::new();
+        let folder = tempfile::tempdir().expect("a folder for settings");
+        let platform = format!("http://{}:{PLATFORM_PORT}", network.ip(2));
+        let listen = format!("{}:{PLATFORM_PORT}", network.ip(2));
+        let store = spawn(standin(&["platform", "--listen", &listen]));
+        let targets = spawn(standin(&target_arguments(&network)));
+        let http = http::Client::new(CALL_LIMIT);
+        let mut fleet = Self {
+            hosts: Vec::new(),
+            platform,
+            store,
+            targets,
+            http,
+            network,
+            folder,
+        };
+        fleet
+            .wait("the platform", async |fleet: &Self| {
+                let url = format!("{}/counts", fleet.platform);
+                fleet.http.send("GET", &url, Vec::new()).await.is_ok()
+            })
+            .await;
+        fleet.apply(&format!("{}{more}", records(&fleet.network)));
+        for (index, zone) in zones.iter().enumerate() {
+            let host = fleet.start_host(u8::try_from(index).expect("few hosts"), zone);
+            fleet.hosts.push(host);
+        }
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts the daemons of one entry host.
+    pub fn start_host(&self, index: u8, zone: &str) -> Host {
+        let name = format!("host-{index}");
+        let ip = self.network.ip(FIRST_HOST + index);
+        let common = format!("host: {name}\nzone: {zone}\n");
+        let entry = format!(
+            "{common}listen: {ip}:{ENTRY_PORT}\ncontrol: {ip}:{CONTROL_PORT}\nadmin: {ip}:{ADMIN_PORT}\n\
+             platform: {}\n",
+            self.platform
+        );
+        let lookup = format!(
+            "{common}listen: {ip}:{LOOKUP_PORT}\ncontrol: {ip}:{LOOKUP_CONTROL_PORT}\nadmin: {ip}:{}\n",
+            ADMIN_PORT + 1
+        );
+        let steer = format!(
+            "{common}ports: {{entry: '{ip}:{ENTRY_PORT}', control: '{ip}:{CONTROL_PORT}', \
+             lookup: '{ip}:{LOOKUP_PORT}', steer: '{ip}:{STEER_PORT}'}}\n\
+             lookup_control: {ip}:{LOOKUP_CONTROL_PORT}\nadmin: {ip}:{}\nplatform: {}\n\
+             poll: 200ms\nheartbeat: 400ms\n",
+            ADMIN_PORT + 2,
+            self.platform
+        );
+        let run = |program: &str, text: &str| {
+            let path = self
+                .folder
+                .path()
+                .join(format!("{name}-{index}-{}.yaml", text.len()));
+            fs::write(&path, text).expect("settings are written");
+            let mut command = process::Command::new(program);
+            command.arg(&path);
+            spawn(command)
+        };
+        Host {
+            entry: run(env!("CARGO_BIN_EXE_skylark-entry"), &entry),
+            lookup: run(env!("CARGO_BIN_EXE_skylark-lookup"), &lookup),
+            steer: run(env!("CARGO_BIN_EXE_skylark-steer"), &steer),
+            name,
+            zone: zone.to_owned(),
+            ip,
+        }
+    }
+
+    /// Waits until every host knows every other and takes requests.
+    pub async fn wait_ready(&self) {
+        self.wait("every host to be named", async |fleet: &Self| {
+            for host in &fleet.hosts {
+                if fleet.named(host).await.len() != fleet.hosts.len() {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        self.wait("every host to be ready", async |fleet: &Self| {
+            for host in &fleet.hosts {
+                let reply = fleet.get(host, "/stock/ready").await;
+                if reply.is_none_or(|reply| reply.status != 200) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    /// Waits until a condition holds.
+    pub async fn wait(&self, what: &str, check: impl AsyncFn(&Self) -> bool) {
+        let end = time::Instant::now() + WAIT_LIMIT;
+        while !check(self).await {
+            assert!(time::Instant::now() < end, "waited too long for {what}");
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+    }
+
+    /// Returns the names of the entry hosts that a look-up at `host` gives.
+    pub async fn named(&self, host: &Host) -> Vec<String> {
+        let reply = self.lookup(host).await;
+        let hosts = reply["hosts"].as_array().cloned().unwrap_or_default();
+        hosts
+            .iter()
+            .filter_map(|entry| Some(entry["host"].as_str()?.to_owned()))
+            .collect()
+    }
+
+    /// Returns the look-up answer for callers of the host's own zone.
+    pub async fn lookup(&self, host: &Host) -> serde_json::Value {
+        let reply = self
+            .http
+            .send("GET", &host.lookup_url(&host.zone), Vec::new())
+            .await;
+        reply
+            .ok()
+            .and_then(|reply| serde_json::from_slice(&reply.body).ok())
+            .unwrap_or(serde_json::Value::Null)
+    }
+
+    /// Sends an idempotent request with the key of the small deployment.
+    pub async fn get(&self, host: &Host, path: &str) -> Option<http::Reply> {
+        self.call(
+            host,
+            "GET",
+            path,
+            &[("authorization", &format!("Bearer {KEY}"))],
+        )
+        .await
+    }
+
+    /// Sends an order under an idempotency key.
+    pub async fn order(&self, host: &Host, key: &str, attempt: u32) -> Option<http::Reply> {
+        let bearer = format!("Bearer {KEY}");
+        let attempt = attempt.to_string();
+        let headers = [
+            ("authorization", bearer.as_str()),
+            (header::IDEMPOTENCY_KEY, key),
+            (header::ATTEMPT, attempt.as_str()),
+        ];
+        self.call(host, "POST", "/orders", &headers).await
+    }
+
+    /// Sends one request to an entry host.
+    pub async fn call(
+        &self,
+        host: &Host,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<http::Reply> {
+        let mut request = hyper::Request::builder()
+            .method(method)
+            .uri(host.entry_url(path));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::default()).expect("a request is formed");
+        self.http.call(request).await.ok()
+    }
+
+    /// Applies records with the operator's command line.
+    pub fn apply(&self, text: &str) {
+        let path = self.folder.path().join("records.yaml");
+        fs::write(&path, text).expect("records are written");
+        let output = self.skylark(&["apply", path.to_str().expect("a path in UTF-8")]);
+        assert!(
+            output.status.success(),
+            "{}",
+            String::from_utf8_lossy(&output.stderr)
+        );
+    }
+
+    /// Runs the operator's command line.
+    pub fn skylark(&self, arguments: &[&str]) -> process::Output {
+        let mut command = process::Command::new(env!("CARGO_BIN_EXE_skylark"));
+        command.args(["--platform", &self.platform]).args(arguments);
+        command.output().expect("the command line runs")
+    }
+
+    /// Sets faults of the platform.
+    pub async fn platform_faults(&self, faults: &serde_json::Value) {
+        let url = format!("{}/faults", self.platform);
+        let body = faults.to_string().into_bytes();
+        let reply = self
+            .http
+            .send("PUT", &url, body)
+            .await
+            .expect("the platform hears");
+        assert_eq!(reply.status, 200);
+    }
+
+    /// Sets faults of a target, by its number.
+    pub async fn target_faults(&self, target: u8, faults: &serde_json::Value) {
+        let url = format!("http://{}/standin/faults", self.target_address(target));
+        let body = faults.to_string().into_bytes();
+        let reply = self
+            .http
+            .send("PUT", &url, body)
+            .await
+            .expect("the target hears");
+        assert_eq!(reply.status, 200);
+    }
+
+    /// Returns how often each key was started, over all targets.
+    pub async fn starts(&self, key: &str) -> u64 {
+        let mut starts = 0;
+        for target in 0..TARGETS {
+            starts += self.report(target).await["starts"][key]
+                .as_u64()
+                .unwrap_or(0);
+        }
+        starts
+    }
+
+    /// Returns what a target reports of itself.
+    pub async fn report(&self, target: u8) -> serde_json::Value {
+        let url = format!("http://{}/standin/report", self.target_address(target));
+        let reply = self
+            .http
+            .send("GET", &url, Vec::new())
+            .await
+            .expect("the target reports");
+        serde_json::from_slice(&reply.body).expect("a report in JSON")
+    }
+
+    /// Returns the folder of settings and logs.
+    pub fn folder(&self) -> &path::Path {
+        self.folder.path()
+    }
+
+    fn target_address(&self, target: u8) -> String {
+        format!("{}:{TARGET_PORT}", self.network.ip(FIRST_TARGET + target))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for host in &mut self.hosts {
+            host.kill();
+        }
+        for child in [&mut self.store, &mut self.targets] {
+            let _ended = child.kill();
+            let _reaped = child.wait();
+        }
+    }
+}
+
+/// Targets of the small deployment: numbers 0 to 3 serve stock, 4 to 7 serve orders.
+pub const TARGETS: u8 = 8;
+
+fn target_arguments(network: &Network) -> Vec<String> {
+    let one = |index: u8| {
+        let ip = network.ip(FIRST_TARGET + index);
+        format!("target-{index}={ip}:{TARGET_PORT}/8")
+    };
+    std::iter::once("targets".to_owned())
+        .chain((0..TARGETS).map(one))
+        .collect()
+}
+
+fn records(network: &Network) -> String {
+    let digest = skylark_core::secret::Secret::new(KEY).digest();
+    let mut text = RECORDS.replace("DIGEST", &String::from(digest));
+    for index in 0..TARGETS {
+        let service = if index < TARGETS / 2 {
+            "stock"
+        } else {
+            "orders"
+        };
+        let zone = ZONES[usize::from(index) % ZONES.len()];
+        let ip = network.ip(FIRST_TARGET + index);
+        write!(
+            text,
+            "---\nschema: 1\ntarget: {{name: target-{index}, service: {service}, zone: {zone}, \
+             address: '{ip}:{TARGET_PORT}', slots: 8, connections: 100}}\n"
+        )
+        .expect("text grows");
+    }
+    text
+}
+
+const RECORDS: &str = "schema: 1
+region: {name: east, zones: [east-a, east-b], delay: 3ms}
+---
+schema: 1
+region: {name: west, zones: [west-a, west-b], delay: 3ms}
+---
+schema: 1
+link: {name: east-west, between: [east, west], bandwidth: 1000 Mbit/s, delay: 20ms}
+---
+schema: 1
+account: {name: shop, rate: 1000/s, burst: 2000}
+---
+schema: 1
+account: {name: small, rate: 10/s, burst: 20}
+---
+schema: 1
+key: {name: shop-1, account: shop, digest: DIGEST}
+---
+schema: 1
+policy: {reserve: 50%, shortage: ask, stale_after: 3s, answer_ttl: 1s}
+---
+schema: 1
+service:
+  name: stock
+  routes:
+    - {methods: [GET], path: /stock, access: keyed, idempotent: true}
+    - {methods: [GET], path: /public, access: open, idempotent: true}
+  deadline: 2s
+  queue: 64
+  objective: {good: 99.9%, within: 250ms}
+---
+schema: 1
+service:
+  name: orders
+  routes:
+    - {methods: [POST], path: /orders, access: keyed, idempotent: false}
+  deadline: 2s
+  queue: 64
+  objective: {good: 99.9%, within: 500ms}
+";
+
+fn standin<S: AsRef<std::ffi::OsStr>>(arguments: &[S]) -> process::Command {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_skylark-standin"));
+    command.args(arguments);
+    command
+}
+
+fn spawn(mut command: process::Command) -> process::Child {
+    let level = std::env::var("SKYLARK_LOG").unwrap_or_else(|_absent| "error".to_owned());
+    command.env("SKYLARK_LOG", level);
+    command.stdin(process::Stdio::null());
+    command.spawn().expect("the program starts")
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,86 @@
+//! The whole path with real processes: look-up, request, answer, and a host that dies.
+
+mod common;
+
+use skylark_wire::header;
+
+const REQUESTS: u32 = 200;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_request_is_answered_whole_and_its_key_stays_here() {
+    let fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    let reply = fleet
+        .get(&fleet.hosts[0], "/stock/oars?size=3")
+        .await
+        .expect("an answer");
+    assert_eq!(reply.status, 200);
+    let said: serde_json::Value = serde_json::from_slice(&reply.body).expect("JSON");
+    assert_eq!(said["account"], "shop");
+    assert_eq!(said["path"], "/stock/oars");
+    assert_eq!(said["query"], "size=3");
+    assert!(
+        !said["headers"].to_string().contains("authorization"),
+        "{said}"
+    );
+    let without = fleet
+        .call(&fleet.hosts[0], "GET", "/stock/oars", &[])
+        .await
+        .expect("an answer");
+    assert_eq!(without.status, 401);
+    assert_eq!(without.headers[header::OUTCOME], "not-run");
+    let open = fleet
+        .call(&fleet.hosts[0], "GET", "/public/tides", &[])
+        .await
+        .expect("an answer");
+    assert_eq!(open.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_starts_once_and_its_answer_can_be_asked_for_again() {
+    let fleet = common::Fleet::start(&common::ZONES[..1]).await;
+    let host = &fleet.hosts[0];
+    let home = fleet.lookup(host).await["home"]
+        .as_str()
+        .expect("a home")
+        .to_owned();
+    let key = format!("{home}.order-1");
+    let first = fleet.order(host, &key, 1).await.expect("an answer");
+    let again = fleet.order(host, &key, 2).await.expect("an answer");
+    assert_eq!(first.status, 200);
+    assert_eq!(first.body, again.body);
+    assert_eq!(fleet.starts(&key).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_go_on_when_an_entry_host_dies() {
+    let mut fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    for number in 0..REQUESTS {
+        if number == REQUESTS / 4 {
+            fleet.hosts[1].kill();
+        }
+        let path = format!("/stock/item-{number}");
+        let first = &fleet.hosts[number as usize % fleet.hosts.len()];
+        let other = &fleet.hosts[(number as usize + 1) % fleet.hosts.len()];
+        let reply = match fleet.get(first, &path).await {
+            Some(reply) => reply,
+            None => match fleet.get(other, &path).await {
+                Some(reply) => reply,
+                None => fleet.get(&fleet.hosts[0], &path).await.expect("an answer"),
+            },
+        };
+        assert_eq!(reply.status, 200);
+        let said: serde_json::Value = serde_json::from_slice(&reply.body).expect("JSON");
+        assert_eq!(said["path"], path.as_str(), "an answer to another request");
+    }
+    fleet
+        .wait(
+            "look-ups to drop the dead host",
+            async |fleet: &common::Fleet| {
+                !fleet
+                    .named(&fleet.hosts[0])
+                    .await
+                    .contains(&"host-1".to_owned())
+            },
+        )
+        .await;
+}
