--- /dev/null
+++ b/src/bin/skylark-load.rs
@@ -0,0 +1,16 @@
+//! A caller of skylarkmount, for trials and measurements.
+
+use std::process;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> process::ExitCode {
+    match skylark_load::run() {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
