--- a/crates/load/src/call.rs
+++ b/crates/load/src/call.rs
@@ -34,6 +34,9 @@
     let reply = caller.send(&request).await?;
     let mut out = io::stdout().lock();
     writeln!(out, "status: {}", reply.status)?;
+    if let Some(text) = &call.idempotency {
+        writeln!(out, "{}: {}", header::IDEMPOTENCY_KEY, caller.expand(text))?;
+    }
     for name in SHOWN_HEADERS {
         if let Some(value) = reply
             .headers
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -118,6 +118,12 @@
         Err(last)
     }
 
+    /// Returns an idempotency key with the home that the look-up named.
+    #[must_use]
+    pub fn expand(&self, text: &str) -> String {
+        text.replace(HOME, &self.home)
+    }
+
     fn form(
         &self,
         base: &str,
@@ -132,7 +138,7 @@
         }
         if let Some(text) = request.idempotency {
             builder = builder
-                .header(header::IDEMPOTENCY_KEY, text.replace(HOME, &self.home))
+                .header(header::IDEMPOTENCY_KEY, self.expand(text))
                 .header(header::ATTEMPT, request.attempt);
         }
         Ok(builder.body(Full::from(request.body.to_owned()))?)
