--- /dev/null
+++ b/crates/core/src/block/group.rs
@@ -0,0 +1,32 @@
+//! A group of clients that is steered as one.
+
+/// Index of a group of clients.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Group(u16);
+
+impl Group {
+    /// Creates a group from its index.
+    #[must_use]
+    pub const fn new(index: u16) -> Self {
+        Self(index)
+    }
+
+    /// Returns the index.
+    #[must_use]
+    pub const fn get(self) -> u16 {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/core/src/block/prefix.rs
@@ -0,0 +1,61 @@
+//! One block of clients.
+
+use std::net;
+
+use crate::error;
+
+/// Longest prefix of an IPv4 block, in bits.
+pub const MAX_PREFIX_BITS: u8 = 32;
+
+/// A prefix of IPv4 addresses, written `10.1.2.0/24`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Block {
+    start: u32,
+    bits: u8,
+}
+
+impl Block {
+    /// Creates the block that holds an address, of a prefix of `bits`.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a prefix longer than an address.
+    pub fn new(address: net::Ipv4Addr, bits: u8) -> super::Result<Self> {
+        if bits > MAX_PREFIX_BITS {
+            return Err(error::Error::Quantity {
+                kind: "prefix length",
+                text: bits.to_string(),
+                example: "24",
+            });
+        }
+        Ok(Self {
+            start: address.to_bits() & mask(bits),
+            bits,
+        })
+    }
+
+    /// Returns the first address.
+    #[must_use]
+    pub const fn first(self) -> u32 {
+        self.start
+    }
+
+    /// Returns the last address.
+    #[must_use]
+    pub const fn last(self) -> u32 {
+        self.start | !mask(self.bits)
+    }
+
+    /// Returns the length of the prefix in bits.
+    #[must_use]
+    pub const fn bits(self) -> u8 {
+        self.bits
+    }
+}
+
+const fn mask(bits: u8) -> u32 {
+    match u32::MAX.checked_shl((MAX_PREFIX_BITS - bits) as u32) {
+        Some(mask) => mask,
+        None => 0,
+    }
+}
