Divide budgets between an owner, holders and reserve slots

One token bucket for the whole fleet is kept by moving tokens: slots with a fixed share, one owner a tenure, loans that expire before the owner's tenure.

--- /dev/null
+++ b/crates/core/src/budget/holder.rs
@@ -0,0 +1,467 @@
+//! The holder of lent tokens and reserve slots in an entry process.
+
+use std::collections;
+use std::time;
+
+use super::amount;
+use super::bucket;
+use super::message;
+use super::part;
+use super::share;
+use super::timing;
+use crate::instant;
+use crate::name;
+use crate::record;
+
+const MICROS_PER_SECOND: u64 = 1_000_000;
+/// Weight of the newest interval in the demand estimate, as one part in so many.
+const SMOOTHING: u64 = 4;
+/// Part of a slot's burst, as one part in so many, that unused tokens may pass through.
+const PASSING: u64 = 4;
+/// Time for which a budget counts as needy after the owner called it so.
+const NEEDY: time::Duration = time::Duration::from_secs(1);
+/// Longest wait that a refusal suggests.
+const MAX_RETRY: time::Duration = time::Duration::from_secs(5);
+
+/// Tokens that one request needs of one budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Charge {
+    /// Index of the budget, as [`Holder::index`] gives it.
+    pub line: usize,
+    /// Tokens that are needed.
+    pub amount: amount::Amount,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// All budgets have been charged.
+    Admit,
+    /// Nothing was charged; the next answer of the owner may bring the tokens.
+    Ask,
+    /// Nothing was charged and no tokens are in sight.
+    Refuse {
+        /// Time after which trying again may help.
+        retry: time::Duration,
+    },
+}
+
+/// An entry process's part in all budgets.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    name: name::Incarnation,
+    timing: timing::Timing,
+    share: share::Share,
+    lines: Vec<Line>,
+    index: collections::HashMap<u64, usize>,
+    listed: Vec<usize>,
+    epoch: u64,
+    seq: u64,
+    pending: Option<instant::Instant>,
+    last: instant::Instant,
+    heard: instant::Instant,
+    trip: time::Duration,
+    seen: instant::Instant,
+    is_urgent: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Line {
+    budget: u64,
+    whole: part::Part,
+    slot: bucket::Bucket,
+    freed: amount::Amount,
+    taken: amount::Amount,
+    held: amount::Amount,
+    until: instant::Instant,
+    spent: amount::Amount,
+    wanted: amount::Amount,
+    missed: amount::Amount,
+    demand: amount::Amount,
+    dry: instant::Instant,
+    needy: instant::Instant,
+    is_listed: bool,
+}
+
+impl Holder {
+    /// Creates a holder without slots and without tokens.
+    #[must_use]
+    pub fn new(name: name::Incarnation, timing: timing::Timing, now: instant::Instant) -> Self {
+        Self {
+            name,
+            timing,
+            share: share::Share::NONE,
+            lines: Vec::new(),
+            index: collections::HashMap::new(),
+            listed: Vec::new(),
+            epoch: 0,
+            seq: 0,
+            pending: None,
+            last: now,
+            heard: now,
+            trip: time::Duration::ZERO,
+            seen: now,
+            is_urgent: false,
+        }
+    }
+
+    /// Returns the sum of the shares of the slots that are spent from.
+    #[must_use]
+    pub const fn share(&self) -> share::Share {
+        self.share
+    }
+
+    /// Returns the index of a budget.
+    #[must_use]
+    pub fn index(&self, budget: u64) -> Option<usize> {
+        self.index.get(&budget).copied()
+    }
+
+    /// Puts a budget's rate and burst in force and returns its index.
+    pub fn set(&mut self, budget: u64, whole: part::Part, now: instant::Instant) -> usize {
+        let part = self.share.of(whole, &self.timing);
+        let next = self.lines.len();
+        let index = *self.index.entry(budget).or_insert(next);
+        if index == next {
+            self.lines.push(Line::new(budget, now));
+        }
+        let line = &mut self.lines[index];
+        line.whole = whole;
+        line.slot.resize(part, now);
+        index
+    }
+
+    /// Begins to spend from slots with this sum of shares, which start without tokens.
+    ///
+    /// The slots must have been claimed for as long as [`timing::Timing::settling`] says.
+    pub fn fund(&mut self, share: share::Share, now: instant::Instant) {
+        self.wake(now);
+        self.share = share;
+        for line in &mut self.lines {
+            let part = self.share.of(line.whole, &self.timing);
+            line.slot.resize(part, now);
+        }
+    }
+
+    /// Notes that the process is running, and returns whether it was frozen for too long.
+    ///
+    /// It then gives up its slots, as it cannot know whether they were passed on.
+    pub fn wake(&mut self, now: instant::Instant) -> bool {
+        let gap = now.since(self.seen);
+        self.seen = self.seen.max(now);
+        if gap < self.timing.frozen {
+            return false;
+        }
+        self.share = share::Share::NONE;
+        for line in &mut self.lines {
+            line.slot.resize(part::Part::ZERO, now);
+        }
+        true
+    }
+
+    /// Charges a request to all its budgets, or to none of them.
+    ///
+    /// `now` must be read directly before the call, after any wait.
+    pub fn admit(
+        &mut self,
+        charges: &[Charge],
+        shortage: record::Shortage,
+        now: instant::Instant,
+    ) -> Verdict {
+        for charge in charges {
+            let line = &mut self.lines[charge.line];
+            line.wanted = line.wanted.saturating_add(charge.amount);
+        }
+        self.decide(charges, shortage, now)
+    }
+
+    /// Charges a request that has waited for the owner, or refuses it.
+    pub fn readmit(&mut self, charges: &[Charge], now: instant::Instant) -> Verdict {
+        self.decide(charges, record::Shortage::Ask, now)
+    }
+
+    fn decide(
+        &mut self,
+        charges: &[Charge],
+        shortage: record::Shortage,
+        now: instant::Instant,
+    ) -> Verdict {
+        self.wake(now);
+        for charge in charges {
+            self.list(charge.line);
+            self.lines[charge.line].refill(now);
+        }
+        let short = charges.iter().find(|charge| {
+            let same = charges.iter().filter(|other| other.line == charge.line);
+            let need = same.fold(amount::Amount::ZERO, |sum, other| {
+                sum.saturating_add(other.amount)
+            });
+            self.lines[charge.line].has_less(need, now)
+        });
+        let Some(short) = short.copied() else {
+            for charge in charges {
+                self.lines[charge.line].spend(charge.amount, now);
+            }
+            return Verdict::Admit;
+        };
+        self.fall_short(short, shortage, now)
+    }
+
+    fn fall_short(
+        &mut self,
+        short: Charge,
+        shortage: record::Shortage,
+        now: instant::Instant,
+    ) -> Verdict {
+        let is_cut = now.since(self.heard) > self.timing.resend * 2;
+        let line = &mut self.lines[short.line];
+        if now < line.dry {
+            return Verdict::Refuse {
+                retry: line.dry.since(now),
+            };
+        }
+        line.missed = line.missed.max(short.amount);
+        self.is_urgent = true;
+        match shortage {
+            record::Shortage::Ask if !is_cut => Verdict::Ask,
+            record::Shortage::Ask | record::Shortage::Refuse => Verdict::Refuse {
+                retry: line.retry(short.amount),
+            },
+        }
+    }
+
+    /// Returns the next ask, if one is due.
+    pub fn poll(&mut self, now: instant::Instant) -> Option<message::Ask> {
+        self.wake(now);
+        let is_waiting = self
+            .pending
+            .is_some_and(|sent| now.since(sent) < self.timing.resend);
+        let is_due = now.since(self.last) >= self.timing.tick;
+        if is_waiting || !(is_due || self.is_urgent) {
+            return None;
+        }
+        let elapsed = now.since(self.last);
+        self.last = now;
+        self.pending = Some(now);
+        self.is_urgent = false;
+        self.seq += 1;
+        Some(message::Ask {
+            holder: self.name.clone(),
+            epoch: self.epoch,
+            seq: self.seq,
+            reports: self.reports(elapsed, now),
+        })
+    }
+
+    fn reports(&mut self, elapsed: time::Duration, now: instant::Instant) -> Vec<message::Report> {
+        let ahead = self.timing.horizon + self.trip;
+        let mut listed = std::mem::take(&mut self.listed);
+        listed.retain(|index| {
+            let line = &mut self.lines[*index];
+            line.is_listed = line.is_active(now);
+            line.is_listed
+        });
+        let reports = listed
+            .iter()
+            .map(|index| self.lines[*index].report(elapsed, ahead, now))
+            .collect();
+        self.listed = listed;
+        reports
+    }
+
+    /// Banks the answer to the newest ask; any other answer is ignored.
+    pub fn bank(&mut self, answer: &message::Answer, now: instant::Instant) {
+        self.wake(now);
+        if answer.seq != self.seq || answer.epoch < self.epoch {
+            return;
+        }
+        let Some(sent) = self.pending.take() else {
+            return;
+        };
+        self.heard = now;
+        self.trip = now.since(sent);
+        if answer.epoch > self.epoch {
+            self.join(answer.epoch);
+            return;
+        }
+        for grant in &answer.grants {
+            let Some(index) = self.index(grant.budget) else {
+                continue;
+            };
+            self.lines[index].bank(grant, sent, &self.timing, now);
+        }
+        for budget in &answer.needy {
+            let Some(index) = self.index(*budget) else {
+                continue;
+            };
+            self.lines[index].needy = now + NEEDY;
+            self.list(index);
+        }
+    }
+
+    /// Follows the owner of a new epoch, who knows nothing of earlier counts.
+    fn join(&mut self, epoch: u64) {
+        self.epoch = epoch;
+        self.is_urgent = true;
+        for line in &mut self.lines {
+            line.held = amount::Amount::ZERO;
+            line.spent = amount::Amount::ZERO;
+            line.freed = amount::Amount::ZERO;
+            line.taken = amount::Amount::ZERO;
+            line.dry = instant::Instant::ORIGIN;
+        }
+    }
+
+    fn list(&mut self, index: usize) {
+        let line = &mut self.lines[index];
+        if !line.is_listed {
+            line.is_listed = true;
+            self.listed.push(index);
+        }
+    }
+}
+
+impl Line {
+    fn new(budget: u64, now: instant::Instant) -> Self {
+        Self {
+            budget,
+            whole: part::Part::ZERO,
+            slot: bucket::Bucket::new(part::Part::ZERO, now),
+            freed: amount::Amount::ZERO,
+            taken: amount::Amount::ZERO,
+            held: amount::Amount::ZERO,
+            until: instant::Instant::ORIGIN,
+            spent: amount::Amount::ZERO,
+            wanted: amount::Amount::ZERO,
+            missed: amount::Amount::ZERO,
+            demand: amount::Amount::ZERO,
+            dry: instant::Instant::ORIGIN,
+            needy: instant::Instant::ORIGIN,
+            is_listed: false,
+        }
+    }
+
+    /// Refills the slot; tokens on their way to the owner still count against its burst.
+    fn refill(&mut self, now: instant::Instant) {
+        let passing = self.freed.saturating_sub(self.taken);
+        let cap = self.slot.part().burst.saturating_sub(passing);
+        self.slot.refill(cap, now);
+    }
+
+    fn lent(&self, now: instant::Instant) -> amount::Amount {
+        if now < self.until {
+            self.held
+        } else {
+            amount::Amount::ZERO
+        }
+    }
+
+    fn has_less(&self, need: amount::Amount, now: instant::Instant) -> bool {
+        self.lent(now).saturating_add(self.slot.level()) < need
+    }
+
+    /// Spends lent tokens first, since they expire.
+    fn spend(&mut self, amount: amount::Amount, now: instant::Instant) {
+        let lent = self.lent(now).min(amount);
+        self.held = self.held.saturating_sub(lent);
+        self.spent = self.spent.saturating_add(lent);
+        self.slot.take(amount.saturating_sub(lent));
+    }
+
+    fn retry(&self, amount: amount::Amount) -> time::Duration {
+        let missing = amount.saturating_sub(self.held);
+        time::Duration::from_micros(self.slot.wait(missing)).min(MAX_RETRY)
+    }
+
+    fn is_active(&self, now: instant::Instant) -> bool {
+        self.held > amount::Amount::ZERO
+            || self.wanted > amount::Amount::ZERO
+            || self.missed > amount::Amount::ZERO
+            || self.demand > amount::Amount::ZERO
+            || now < self.needy
+    }
+
+    fn report(
+        &mut self,
+        elapsed: time::Duration,
+        ahead: time::Duration,
+        now: instant::Instant,
+    ) -> message::Report {
+        self.refill(now);
+        self.held = self.lent(now);
+        self.estimate(elapsed);
+        let need = self.need(ahead);
+        self.pass_on(need, now);
+        self.hand_back(need);
+        let have = self.held.saturating_add(self.slot.level());
+        message::Report {
+            budget: self.budget,
+            held: self.held,
+            spent: self.spent,
+            freed: self.freed,
+            want: need.saturating_sub(have),
+        }
+    }
+
+    fn estimate(&mut self, elapsed: time::Duration) {
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let seen = self.wanted.scaled(MICROS_PER_SECOND, micros.max(1));
+        let kept = self.demand.scaled(SMOOTHING - 1, SMOOTHING);
+        self.demand = kept.saturating_add(seen.scaled(1, SMOOTHING));
+        if self.demand < amount::Amount::TOKEN.scaled(1, 100) {
+            self.demand = amount::Amount::ZERO;
+        }
+        self.wanted = amount::Amount::ZERO;
+    }
+
+    /// Returns the tokens that should be in hand to serve the time ahead.
+    fn need(&mut self, ahead: time::Duration) -> amount::Amount {
+        let micros = u64::try_from(ahead.as_micros()).unwrap_or(u64::MAX);
+        let mean = self.demand.scaled(micros, MICROS_PER_SECOND);
+        let missed = std::mem::take(&mut self.missed);
+        if mean == amount::Amount::ZERO && missed == amount::Amount::ZERO {
+            return amount::Amount::ZERO;
+        }
+        let tokens = mean.as_micros() / amount::Amount::TOKEN.as_micros();
+        let spread = amount::Amount::from_tokens(2 * tokens.isqrt() + 1);
+        mean.saturating_add(spread).saturating_add(missed)
+    }
+
+    /// Passes the slot's tokens beyond the need on to the owner, while others need them.
+    ///
+    /// The larger part of the slot's burst stays, for the time of a cut.
+    fn pass_on(&mut self, need: amount::Amount, now: instant::Instant) {
+        if now >= self.needy {
+            return;
+        }
+        let burst = self.slot.part().burst;
+        let room = burst.scaled(1, PASSING);
+        let passing = self.freed.saturating_sub(self.taken);
+        let keep = burst.saturating_sub(room).max(need);
+        let unused = self.slot.level().saturating_sub(keep);
+        let freed = self.slot.take(unused.min(room.saturating_sub(passing)));
+        self.freed = self.freed.saturating_add(freed);
+    }
+
+    /// Gives lent tokens beyond twice the need up; the owner sees it from the counts.
+    fn hand_back(&mut self, need: amount::Amount) {
+        self.held = self.held.min(need.scaled(2, 1));
+    }
+
+    fn bank(
+        &mut self,
+        grant: &message::Grant,
+        sent: instant::Instant,
+        timing: &timing::Timing,
+        now: instant::Instant,
+    ) {
+        // The owner may have let a loan expire that had expired here, too.
+        self.held = self.lent(now).saturating_add(grant.tokens);
+        let life = timing.shortened(time::Duration::from_micros(grant.life));
+        if life > time::Duration::ZERO {
+            self.until = self.until.max(sent + life);
+        }
+        self.taken = self.taken.max(grant.taken);
+        self.dry = now + time::Duration::from_micros(grant.dry);
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget/message.rs
@@ -0,0 +1,62 @@
+//! What holders and owners say to each other.
+
+use super::amount;
+use crate::name;
+
+/// A holder's report on its budgets and request for tokens.
+///
+/// By sending it, the holder promises to bank no answer to an earlier ask.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Ask {
+    /// Life of the entry process that asks.
+    pub holder: name::Incarnation,
+    /// Epoch of the owner that the counts refer to, 0 for none.
+    pub epoch: u64,
+    /// Number of the ask, rising in each life.
+    pub seq: u64,
+    /// One report for each budget that is in use.
+    pub reports: Vec<Report>,
+}
+
+/// A holder's report on one budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Report {
+    /// Number that stands for the budget.
+    pub budget: u64,
+    /// Lent tokens that the holder may still spend.
+    pub held: amount::Amount,
+    /// Lent tokens spent in this epoch.
+    pub spent: amount::Amount,
+    /// Tokens of the holder's slots passed on in this epoch.
+    pub freed: amount::Amount,
+    /// Tokens that the holder would like on top of those it has.
+    pub want: amount::Amount,
+}
+
+/// An owner's answer to an ask.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Answer {
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// Number of the ask.
+    pub seq: u64,
+    /// One grant for each report, none if the ask had another epoch.
+    pub grants: Vec<Grant>,
+    /// Budgets that are short of tokens, to which unused slots may add.
+    pub needy: Vec<u64>,
+}
+
+/// What an owner grants of one budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Grant {
+    /// Number that stands for the budget.
+    pub budget: u64,
+    /// Tokens that move to the holder.
+    pub tokens: amount::Amount,
+    /// Tokens of the holder's slots that the owner has taken in.
+    pub taken: amount::Amount,
+    /// Microseconds that the holder's lent tokens live on, 0 for no longer than before.
+    pub life: u64,
+    /// Microseconds for which asking again is in vain, 0 where the want was met.
+    pub dry: u64,
+}
--- /dev/null
+++ b/crates/core/src/budget/owner.rs
@@ -0,0 +1,300 @@
+//! The owner of budgets, which lends tokens to holders.
+
+use std::collections;
+use std::time;
+
+use super::amount;
+use super::bucket;
+use super::message;
+use super::part;
+use super::share;
+use super::timing;
+use crate::instant;
+use crate::lease;
+use crate::name;
+
+/// Most budgets that one answer calls needy.
+const MAX_NEEDY: usize = 64;
+/// Most microseconds for which a holder is told not to ask again.
+const MAX_DRY: u64 = 200_000;
+/// Fewest microseconds for which a holder is told not to ask again.
+const MIN_DRY: u64 = 5_000;
+
+/// The owner of all budgets during one epoch.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    timing: timing::Timing,
+    tenure: lease::Tenure,
+    share: share::Share,
+    lines: collections::HashMap<u64, Line>,
+    holders: collections::HashMap<name::Incarnation, Known>,
+    needy: collections::BTreeSet<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    index: u32,
+    seq: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Line {
+    whole: part::Part,
+    bucket: bucket::Bucket,
+    loans: Vec<Loan>,
+}
+
+/// What one holder has of one budget, as far as the owner knows.
+#[derive(Clone, Copy, Debug)]
+struct Loan {
+    holder: u32,
+    out: amount::Amount,
+    spent: amount::Amount,
+    freed: amount::Amount,
+    want: amount::Amount,
+    until: instant::Instant,
+}
+
+impl Owner {
+    /// Creates the owner of a new epoch, without tokens.
+    ///
+    /// The tenure of the epoch before must have ended. `claimed` is the sum of
+    /// the claimed slots' shares, read after this tenure was requested.
+    #[must_use]
+    pub fn new(tenure: lease::Tenure, claimed: share::Share, timing: timing::Timing) -> Self {
+        Self {
+            timing,
+            tenure,
+            share: claimed.rest(),
+            lines: collections::HashMap::new(),
+            holders: collections::HashMap::new(),
+            needy: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Returns the tenure.
+    #[must_use]
+    pub const fn tenure(&self) -> lease::Tenure {
+        self.tenure
+    }
+
+    /// Extends the tenure, with the claimed slots' shares as read by the renewal.
+    ///
+    /// A tenure of another epoch is ignored: that epoch needs a new owner.
+    pub fn renew(&mut self, tenure: lease::Tenure, claimed: share::Share, now: instant::Instant) {
+        if tenure.epoch != self.tenure.epoch {
+            return;
+        }
+        self.tenure = tenure;
+        if self.share == claimed.rest() {
+            return;
+        }
+        self.share = claimed.rest();
+        for line in self.lines.values_mut() {
+            line.resize(self.share.of(line.whole, &self.timing), now);
+        }
+    }
+
+    /// Puts a budget's rate and burst in force; a new budget starts without tokens.
+    pub fn set(&mut self, budget: u64, whole: part::Part, now: instant::Instant) {
+        let part = self.share.of(whole, &self.timing);
+        let line = self
+            .lines
+            .entry(budget)
+            .or_insert_with(|| Line::new(part, now));
+        line.whole = whole;
+        line.resize(part, now);
+    }
+
+    /// Ends the budgets that `keep` does not name; their loans are left to expire.
+    pub fn retain(&mut self, keep: &collections::BTreeSet<u64>, now: instant::Instant) {
+        self.needy.retain(|budget| keep.contains(budget));
+        self.lines.retain(|budget, line| {
+            if keep.contains(budget) {
+                return true;
+            }
+            line.resize(part::Part::ZERO, now);
+            !line.loans.is_empty()
+        });
+    }
+
+    /// Answers an ask, or not at all outside the tenure and to repeated asks.
+    pub fn answer(&mut self, ask: &message::Ask, now: instant::Instant) -> Option<message::Answer> {
+        if !self.tenure.is_held(now) {
+            return None;
+        }
+        let holder = self.hear(ask)?;
+        let is_current = ask.epoch == self.tenure.epoch;
+        let reports = if is_current {
+            ask.reports.as_slice()
+        } else {
+            &[]
+        };
+        let grants: Vec<message::Grant> = reports
+            .iter()
+            .filter_map(|report| self.grant(holder, report, now))
+            .collect();
+        Some(message::Answer {
+            epoch: self.tenure.epoch,
+            seq: ask.seq,
+            grants,
+            needy: self.needy.iter().copied().take(MAX_NEEDY).collect(),
+        })
+    }
+
+    /// Notes an ask's number and returns the holder's index, unless it was heard before.
+    fn hear(&mut self, ask: &message::Ask) -> Option<u32> {
+        let next = u32::try_from(self.holders.len()).unwrap_or(u32::MAX);
+        let Some(known) = self.holders.get_mut(&ask.holder) else {
+            let known = Known {
+                index: next,
+                seq: ask.seq,
+            };
+            self.holders.insert(ask.holder.clone(), known);
+            return Some(next);
+        };
+        if ask.seq <= known.seq {
+            return None;
+        }
+        known.seq = ask.seq;
+        Some(known.index)
+    }
+
+    fn grant(
+        &mut self,
+        holder: u32,
+        report: &message::Report,
+        now: instant::Instant,
+    ) -> Option<message::Grant> {
+        let span = self.tenure.until.since(now).min(self.timing.life);
+        let line = self.lines.get_mut(&report.budget)?;
+        let grant = line.grant(holder, report, span, now);
+        if line.is_needy() {
+            self.needy.insert(report.budget);
+        } else {
+            self.needy.remove(&report.budget);
+        }
+        Some(grant)
+    }
+}
+
+impl Line {
+    fn new(part: part::Part, now: instant::Instant) -> Self {
+        Self {
+            whole: part,
+            bucket: bucket::Bucket::new(part, now),
+            loans: Vec::new(),
+        }
+    }
+
+    fn out(&self) -> amount::Amount {
+        let out = self.loans.iter().map(|loan| loan.out);
+        out.fold(amount::Amount::ZERO, amount::Amount::saturating_add)
+    }
+
+    /// Returns the most tokens that the bucket may hold beside the loans.
+    fn cap(&self) -> amount::Amount {
+        self.bucket.part().burst.saturating_sub(self.out())
+    }
+
+    fn refill(&mut self, now: instant::Instant) {
+        self.bucket.refill(self.cap(), now);
+        self.loans.retain(|loan| now < loan.until);
+    }
+
+    fn resize(&mut self, part: part::Part, now: instant::Instant) {
+        self.refill(now);
+        self.bucket.resize(part, now);
+        let cap = self.cap();
+        let excess = self.bucket.level().saturating_sub(cap);
+        self.bucket.take(excess);
+    }
+
+    fn is_needy(&self) -> bool {
+        let stock = self.bucket.level().saturating_add(self.out());
+        stock < self.bucket.part().burst.scaled(3, 4)
+    }
+
+    fn grant(
+        &mut self,
+        holder: u32,
+        report: &message::Report,
+        life: time::Duration,
+        now: instant::Instant,
+    ) -> message::Grant {
+        self.refill(now);
+        let index = self.settle(holder, report, now);
+        let loan = self.loans[index];
+        self.credit(report.freed.saturating_sub(loan.freed));
+        self.loans[index].freed = report.freed;
+        let is_over = self.out() > self.bucket.part().burst;
+        let tokens = if is_over {
+            amount::Amount::ZERO
+        } else {
+            self.fair(report.want)
+        };
+        let tokens = self.bucket.take(tokens);
+        let loan = &mut self.loans[index];
+        loan.out = loan.out.saturating_add(tokens);
+        // Loans beyond a part that has shrunk are left to expire.
+        let life = if is_over { time::Duration::ZERO } else { life };
+        loan.until = loan.until.max(now + life);
+        message::Grant {
+            budget: report.budget,
+            tokens,
+            taken: report.freed,
+            life: u64::try_from(life.as_micros()).unwrap_or(u64::MAX),
+            dry: self.dry(report.want.saturating_sub(tokens)),
+        }
+    }
+
+    /// Brings a holder's loan up to its report; lent tokens that it neither holds nor
+    /// spent come back.
+    fn settle(&mut self, holder: u32, report: &message::Report, now: instant::Instant) -> usize {
+        let found = self.loans.iter().position(|loan| loan.holder == holder);
+        let index = found.unwrap_or_else(|| {
+            self.loans.push(Loan {
+                holder,
+                out: amount::Amount::ZERO,
+                spent: report.spent,
+                freed: report.freed,
+                want: amount::Amount::ZERO,
+                until: now,
+            });
+            self.loans.len() - 1
+        });
+        let loan = &mut self.loans[index];
+        let spent = report.spent.saturating_sub(loan.spent);
+        let gone = loan.out.saturating_sub(report.held);
+        let back = gone.saturating_sub(spent);
+        loan.out = loan.out.min(report.held);
+        loan.spent = report.spent;
+        loan.want = report.want;
+        self.credit(back);
+        index
+    }
+
+    fn credit(&mut self, amount: amount::Amount) {
+        let cap = self.cap();
+        self.bucket.put(amount, cap);
+    }
+
+    /// Returns a holder's fair part of the tokens in hand, all of `want` if they suffice.
+    fn fair(&self, want: amount::Amount) -> amount::Amount {
+        let level = self.bucket.level();
+        let wants = self.loans.iter().map(|loan| loan.want);
+        let sum = wants.fold(amount::Amount::ZERO, amount::Amount::saturating_add);
+        if sum <= level {
+            return want;
+        }
+        level.scaled(want.as_micros(), sum.as_micros())
+    }
+
+    fn dry(&self, unmet: amount::Amount) -> u64 {
+        if unmet == amount::Amount::ZERO {
+            return 0;
+        }
+        let wait = self.bucket.wait(amount::Amount::TOKEN);
+        wait.clamp(MIN_DRY, MAX_DRY)
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget/timing.rs
@@ -0,0 +1,77 @@
+//! Times that owners and holders agree on.
+
+use std::time;
+
+use super::amount;
+
+const MILLION: u64 = 1_000_000;
+
+/// Times that owners and holders of budgets agree on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Time between two asks of a holder that is not short of tokens.
+    pub tick: time::Duration,
+    /// Time after which a holder gives up an unanswered ask.
+    pub resend: time::Duration,
+    /// Time for which a holder keeps tokens in hand, on top of an ask's round trip.
+    pub horizon: time::Duration,
+    /// Longest life of a grant.
+    pub life: time::Duration,
+    /// Longest tenure of an owner.
+    pub tenure: time::Duration,
+    /// Gap in a holder's own activity after which it gives up its slots.
+    pub frozen: time::Duration,
+    /// Bound on the drift of any clock, in parts per million.
+    pub drift: u32,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            tick: time::Duration::from_millis(100),
+            resend: time::Duration::from_millis(250),
+            horizon: time::Duration::from_millis(150),
+            life: time::Duration::from_secs(2),
+            tenure: time::Duration::from_secs(3),
+            frozen: time::Duration::from_secs(5),
+            drift: 500,
+        }
+    }
+}
+
+impl Timing {
+    /// Returns a rate that a clock within the drift bound never exceeds.
+    #[must_use]
+    pub fn slowed(&self, rate: amount::Amount) -> amount::Amount {
+        rate.scaled(MILLION - u64::from(self.drift), MILLION)
+    }
+
+    /// Returns a span that surely ends here before `span` ends on another clock.
+    #[must_use]
+    pub fn shortened(&self, span: time::Duration) -> time::Duration {
+        let micros = amount::Amount::from_micros(micros(span));
+        let factor = MILLION - 2 * u64::from(self.drift);
+        time::Duration::from_micros(micros.scaled(factor, MILLION).as_micros())
+    }
+
+    /// Returns a span that surely ends here after `span` ended on another clock.
+    #[must_use]
+    pub fn lengthened(&self, span: time::Duration) -> time::Duration {
+        let micros = amount::Amount::from_micros(micros(span));
+        let factor = MILLION + 3 * u64::from(self.drift);
+        time::Duration::from_micros(micros.scaled(factor, MILLION).as_micros() + 1)
+    }
+
+    /// Returns the time from a slot's claim until it may be spent from.
+    ///
+    /// By then every owner that read the slot as free has lapsed or read again,
+    /// and the grants beyond what the slot leaves it have expired.
+    #[must_use]
+    pub fn settling(&self) -> time::Duration {
+        self.lengthened(self.tenure + self.life)
+    }
+}
+
+fn micros(span: time::Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/core/tests/budget_parts.rs
@@ -0,0 +1,262 @@
+//! The parts of a divided budget: holder, owner, shares and claims one by one.
+
+use std::time;
+
+use skylark_core::budget;
+use skylark_core::instant;
+use skylark_core::lease;
+use skylark_core::name;
+use skylark_core::record;
+use skylark_core::unit;
+
+const SCHEDULES: u64 = 2_000;
+const SIZE: u64 = 256;
+
+fn at(millis: u64) -> instant::Instant {
+    instant::Instant::from_millis(millis)
+}
+
+fn whole(rate: u64, burst: u64) -> budget::Part {
+    budget::Part::of_requests(unit::Rate::per_second(rate), burst)
+}
+
+fn holder(name: &str) -> budget::Holder {
+    let name = name::Incarnation::new(name).expect("name");
+    budget::Holder::new(name, budget::Timing::default(), at(0))
+}
+
+fn owner(rate: u64, burst: u64) -> budget::Owner {
+    let tenure = lease::Tenure::new(1, at(60_000));
+    let timing = budget::Timing::default();
+    let mut owner = budget::Owner::new(tenure, budget::Share::NONE, timing);
+    owner.set(0, whole(rate, burst), at(0));
+    owner.set(1, whole(rate, burst), at(0));
+    owner
+}
+
+fn charge(line: usize) -> budget::Charge {
+    budget::Charge {
+        line,
+        amount: budget::Amount::TOKEN,
+    }
+}
+
+fn is_admitted(holder: &mut budget::Holder, lines: &[usize], now: instant::Instant) -> bool {
+    let charges: Vec<budget::Charge> = lines.iter().map(|line| charge(*line)).collect();
+    holder.admit(&charges, record::Shortage::Ask, now) == budget::Verdict::Admit
+}
+
+fn count(holder: &mut budget::Holder, line: usize, now: instant::Instant) -> usize {
+    (0..1_000)
+        .filter(|_| is_admitted(holder, &[line], now))
+        .count()
+}
+
+/// Returns an owner and a holder that knows it and is short of tokens.
+fn pair() -> (budget::Owner, budget::Holder) {
+    let mut owner = owner(100, 50);
+    let mut holder = holder("one");
+    holder.set(0, whole(100, 50), at(0));
+    holder.set(1, whole(100, 50), at(0));
+    let ask = holder.poll(at(1_000)).expect("ask");
+    let answer = owner.answer(&ask, at(1_001)).expect("answer");
+    holder.bank(&answer, at(1_002));
+    assert!(!is_admitted(&mut holder, &[0], at(1_002)));
+    (owner, holder)
+}
+
+#[test]
+fn a_refused_request_charges_none_of_its_budgets() {
+    let mut holder = holder("one");
+    holder.set(0, whole(10, 10), at(0));
+    holder.set(1, whole(10, 2), at(0));
+    holder.fund(budget::Share::WHOLE, at(0));
+    let now = at(3_000);
+    for _ in 0..20 {
+        let _verdict = holder.admit(
+            &[charge(0), charge(1), charge(1), charge(1)],
+            record::Shortage::Ask,
+            now,
+        );
+    }
+    assert_eq!(count(&mut holder, 1, now), 2);
+    assert_eq!(count(&mut holder, 0, now), 10);
+}
+
+#[test]
+fn an_answer_is_banked_once_and_only_to_the_newest_ask() {
+    let (mut owner, mut holder) = pair();
+    let first = holder.poll(at(1_003)).expect("ask");
+    let late = owner.answer(&first, at(1_004)).expect("answer");
+    let second = holder.poll(at(1_300)).expect("ask after the timeout");
+    holder.bank(&late, at(1_301));
+    assert_eq!(count(&mut holder, 0, at(1_301)), 0);
+    let answer = owner.answer(&second, at(1_302)).expect("answer");
+    let tokens = answer.grants[0].tokens.as_micros() / 1_000_000;
+    assert!(tokens > 0);
+    holder.bank(&answer, at(1_303));
+    holder.bank(&answer, at(1_304));
+    let admitted = count(&mut holder, 0, at(1_304));
+    assert_eq!(admitted, usize::try_from(tokens).expect("small"));
+}
+
+#[test]
+fn an_ask_is_answered_once() {
+    let (mut owner, mut holder) = pair();
+    let ask = holder.poll(at(1_003)).expect("ask");
+    assert!(owner.answer(&ask, at(1_004)).is_some());
+    assert!(owner.answer(&ask, at(1_005)).is_none());
+}
+
+#[test]
+fn an_owner_answers_only_in_its_tenure() {
+    let (mut owner, mut holder) = pair();
+    let ask = holder.poll(at(1_003)).expect("ask");
+    assert!(owner.answer(&ask, at(60_000)).is_none());
+}
+
+#[test]
+fn lent_tokens_end_with_their_life_and_come_back() {
+    let (mut owner, mut holder) = pair();
+    let ask = holder.poll(at(1_003)).expect("ask");
+    let answer = owner.answer(&ask, at(1_004)).expect("answer");
+    holder.bank(&answer, at(1_005));
+    assert!(is_admitted(&mut holder, &[0], at(3_000)));
+    assert!(!is_admitted(&mut holder, &[0], at(3_004)));
+}
+
+#[test]
+fn a_frozen_holder_gives_its_slots_up() {
+    let mut holder = holder("one");
+    holder.set(0, whole(10, 10), at(0));
+    holder.fund(budget::Share::WHOLE, at(0));
+    assert!(is_admitted(&mut holder, &[0], at(4_000)));
+    assert!(!is_admitted(&mut holder, &[0], at(9_000)));
+}
+
+#[test]
+fn parts_under_two_versions_stay_within_the_larger() {
+    for number in 0..SCHEDULES {
+        arbtest::arbtest(|u| {
+            let timing = budget::Timing {
+                drift: 0,
+                ..budget::Timing::default()
+            };
+            let zones = u.int_in_range(1..=9)?;
+            let slots = u.int_in_range(1..=12)?;
+            let mut claimed = budget::Share::NONE;
+            let wholes = [
+                whole(u.int_in_range(0..=9_999)?, u.int_in_range(0..=9_999)?),
+                whole(u.int_in_range(0..=9_999)?, u.int_in_range(0..=9_999)?),
+            ];
+            let mut rates = 0;
+            let mut bursts = 0;
+            let mut add = |part: budget::Part| {
+                rates += part.rate.as_micros();
+                bursts += part.burst.as_micros();
+            };
+            for _ in 0..u.int_in_range(0..=zones * slots)? {
+                let points = u.int_in_range(0..=10_000)?;
+                let reserve = unit::Percent::from_basis_points(points);
+                let plan = budget::Plan {
+                    reserve,
+                    zones,
+                    slots,
+                };
+                claimed = claimed.plus(plan.share());
+                add(plan
+                    .share()
+                    .of(wholes[usize::from(u.arbitrary::<bool>()?)], &timing));
+            }
+            add(claimed
+                .rest()
+                .of(wholes[usize::from(u.arbitrary::<bool>()?)], &timing));
+            assert!(rates <= wholes[0].rate.max(wholes[1].rate).as_micros());
+            assert!(bursts <= wholes[0].burst.max(wholes[1].burst).as_micros());
+            Ok(())
+        })
+        .seed((number << 32) | SIZE);
+    }
+}
+
+fn plan() -> budget::Plan {
+    budget::Plan {
+        reserve: unit::Percent::from_basis_points(5_000),
+        zones: 2,
+        slots: 2,
+    }
+}
+
+fn claim() -> budget::Claim {
+    budget::Claim::new(
+        name::Host::new("h").expect("name"),
+        name::Incarnation::new("h-1").expect("name"),
+        name::Zone::new("z").expect("name"),
+        2,
+    )
+}
+
+#[test]
+fn a_claim_whose_answer_was_lost_is_resolved_by_reading_back() {
+    let timing = budget::Timing::default();
+    let mut claim = claim();
+    claim.hear(budget::Event::Read(&[]), &plan(), &timing, at(0));
+    let budget::Step::Write(slots) = claim.step(at(0)) else {
+        panic!("no write");
+    };
+    claim.hear(budget::Event::Lost, &plan(), &timing, at(1));
+    assert_eq!(claim.step(at(1)), budget::Step::Read);
+    claim.hear(budget::Event::Read(&slots), &plan(), &timing, at(2));
+    let settled = at(2) + timing.settling();
+    assert_eq!(claim.step(at(3)), budget::Step::Wait(settled));
+    let share = budget::Slot::claimed(&slots);
+    assert_eq!(claim.step(settled), budget::Step::Fund(share));
+    assert_eq!(claim.step(settled), budget::Step::Rest);
+}
+
+#[test]
+fn a_claim_that_a_late_write_completed_takes_no_second_set_of_slots() {
+    let timing = budget::Timing::default();
+    let mut claim = claim();
+    claim.hear(budget::Event::Read(&[]), &plan(), &timing, at(0));
+    let budget::Step::Write(slots) = claim.step(at(0)) else {
+        panic!("no write");
+    };
+    claim.hear(budget::Event::Lost, &plan(), &timing, at(1));
+    claim.hear(budget::Event::Read(&[]), &plan(), &timing, at(2));
+    assert_eq!(claim.step(at(2)), budget::Step::Write(slots.clone()));
+    claim.hear(budget::Event::Conflict, &plan(), &timing, at(3));
+    claim.hear(budget::Event::Read(&slots), &plan(), &timing, at(4));
+    assert_eq!(
+        claim.step(at(4)),
+        budget::Step::Wait(at(4) + timing.settling())
+    );
+}
+
+#[test]
+fn a_forfeit_claim_settles_anew() {
+    let timing = budget::Timing::default();
+    let mut claim = claim();
+    claim.hear(budget::Event::Read(&[]), &plan(), &timing, at(0));
+    let budget::Step::Write(slots) = claim.step(at(0)) else {
+        panic!("no write");
+    };
+    claim.hear(budget::Event::Written, &plan(), &timing, at(1));
+    claim.hear(budget::Event::Forfeit, &plan(), &timing, at(9_000));
+    assert_eq!(claim.step(at(9_000)), budget::Step::Read);
+    claim.hear(budget::Event::Read(&slots), &plan(), &timing, at(9_001));
+    let settled = at(9_001) + timing.settling();
+    assert_eq!(claim.step(at(9_002)), budget::Step::Wait(settled));
+}
+
+#[test]
+fn a_slot_is_freed_only_after_its_frozen_holder_would_give_it_up() {
+    let timing = budget::Timing::default();
+    assert!(!budget::Slot::may_free(
+        at(0),
+        &timing,
+        at(0) + timing.frozen
+    ));
+    let bound = timing.lengthened(timing.frozen) + time::Duration::from_micros(1);
+    assert!(budget::Slot::may_free(at(0), &timing, at(0) + bound));
+}
