--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! value that can be compared, so that any decision can be run again.
 
 pub mod block;
+pub mod budget;
 pub mod catalog;
 pub mod decision;
 pub mod error;
