Decide at most once and quarantine in the core

Cause: nothing decided which request may start, nor what a refusal may say.

Change: a key HOME.tISSUED.UNIQUE names one life of an entry process, whose ledger alone lets it start. Generations of issue times are forgotten whole and refused as unknown from then on, so no key is both forgotten and fit to start. A planned end leaves a mark that makes an absent key "not run"; without the mark an absent key is unknown. Keys without a home are claimed by one conditional write that is read back by its id. Fingerprints that no target has answered lately run one at a time on each host, after one death only with a probe in the table, after two not at all for ten minutes.

Ruled out: a ledger that forgets by age of the entry alone (a late resend starts again), one that forgets nothing (memory without bound), a host that takes a key over.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod kind;
 pub mod lease;
 pub mod name;
+pub mod once;
+pub mod quarantine;
 pub mod record;
 pub mod secret;
 pub mod timestamp;
--- /dev/null
+++ b/crates/core/src/once/key.rs
@@ -0,0 +1,95 @@
+//! Idempotency keys.
+
+use std::sync;
+
+use crate::error;
+
+const CONTEXT: &str = "skylarkmount 2026 idempotency key v1";
+const MAX_BYTES: usize = 255;
+const ID_BYTES: usize = 16;
+
+/// An idempotency key as its caller sent it.
+///
+/// `HOME.tISSUED.UNIQUE` names a home; any other text is a key that its caller made up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Key {
+    text: sync::Arc<str>,
+    home: Option<super::Home>,
+}
+
+/// Digest of a key, under which ledgers and the table keep it.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Id(u128);
+
+impl Key {
+    /// Reads a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails on an empty or overlong text, or one with other than visible ASCII.
+    pub fn new(text: &str) -> super::Result<Self> {
+        let is_good = text.len() <= MAX_BYTES && text.bytes().all(|b| b.is_ascii_graphic());
+        if !is_good || text.is_empty() {
+            return Err(error::Error::Quantity {
+                kind: "idempotency key",
+                text: text.chars().take(MAX_BYTES).collect(),
+                example: "the home of a look-up answer, a dot, and 32 random hex digits",
+            });
+        }
+        let home = text
+            .rsplit_once('.')
+            .and_then(|(home, _unique)| super::Home::read(home));
+        Ok(Self {
+            text: text.into(),
+            home,
+        })
+    }
+
+    /// Returns the key as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns the home that the key names, absent for a key that its caller made up.
+    #[must_use]
+    pub fn home(&self) -> Option<&super::Home> {
+        self.home.as_ref()
+    }
+
+    /// Returns the digest of the key.
+    #[must_use]
+    pub fn id(&self) -> Id {
+        let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
+        hasher.update(self.text.as_bytes());
+        let mut bytes = [0; ID_BYTES];
+        hasher.finalize_xof().fill(&mut bytes);
+        Id(u128::from_be_bytes(bytes))
+    }
+}
+
+impl Id {
+    /// Returns the digest as 32 hex digits.
+    #[must_use]
+    pub fn to_hex(&self) -> String {
+        format!("{:032x}", self.0)
+    }
+}
+
+impl TryFrom<String> for Key {
+    type Error = error::Error;
+
+    fn try_from(text: String) -> super::Result<Self> {
+        Self::new(&text)
+    }
+}
+
+impl From<Key> for String {
+    fn from(key: Key) -> Self {
+        key.text.as_ref().to_owned()
+    }
+}
--- /dev/null
+++ b/crates/core/src/once/permit.rs
@@ -0,0 +1,19 @@
+//! The right to send one request to a target.
+
+/// The right to send one request to a target, given once for each key.
+///
+/// It cannot be copied: who finishes the request hands it back.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a permit that is dropped leaves its key running"]
+pub struct Permit {
+    pub(super) id: super::Id,
+    pub(super) generation: u64,
+}
+
+impl Permit {
+    /// Returns the id of the key that may start.
+    #[must_use]
+    pub fn id(&self) -> super::Id {
+        self.id
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/death.rs
@@ -0,0 +1,17 @@
+//! News of a target that died under a request.
+
+use crate::name;
+use crate::once;
+
+/// A target died in the exchange of a request with this fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct Death {
+    /// Fingerprint of the request.
+    pub print: once::Print,
+    /// The target that died.
+    pub target: name::Target,
+    /// The life of the entry process that saw it.
+    pub witness: name::Incarnation,
+    /// Number of the death among those that the witness saw.
+    pub number: u64,
+}
--- /dev/null
+++ b/crates/core/src/quarantine/ward.rs
@@ -0,0 +1,204 @@
+//! What one host knows of fingerprints and deaths.
+
+use std::collections;
+
+use crate::instant;
+use crate::name;
+use crate::once;
+
+/// What one host knows of fingerprints and the deaths under them.
+///
+/// A fingerprint that no target has answered lately runs one at a time on each
+/// host; after a death that the host saw or heard of it runs only with the
+/// table's probe, and after [`super::Limits::deaths`] not at all for a while.
+#[derive(Debug)]
+pub struct Ward {
+    limits: super::Limits,
+    witness: name::Incarnation,
+    number: u64,
+    running: collections::HashMap<once::Print, usize>,
+    trusted: collections::HashMap<once::Print, instant::Instant>,
+    deaths: collections::HashMap<once::Print, Vec<Seen>>,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    death: super::Death,
+    at: instant::Instant,
+    weight: usize,
+}
+
+impl Ward {
+    /// Creates the knowledge of a host that has seen nothing.
+    #[must_use]
+    pub fn new(limits: super::Limits, witness: &name::Incarnation) -> Self {
+        Self {
+            limits,
+            witness: witness.clone(),
+            number: 0,
+            running: collections::HashMap::new(),
+            trusted: collections::HashMap::new(),
+            deaths: collections::HashMap::new(),
+        }
+    }
+
+    /// Decides what may be done with a request; [`super::Pass::Run`] counts it as running.
+    pub fn enter(&mut self, now: instant::Instant, print: once::Print) -> super::Pass {
+        let pass = self.decide(now, print);
+        if pass == super::Pass::Run {
+            self.start(print);
+        }
+        pass
+    }
+
+    /// Decides again for a request that holds the table's probe.
+    pub fn enter_probed(&mut self, now: instant::Instant, print: once::Print) -> super::Pass {
+        match self.decide(now, print) {
+            super::Pass::Probe | super::Pass::Run => {
+                self.start(print);
+                super::Pass::Run
+            }
+            other => other,
+        }
+    }
+
+    /// Decides again for a request whose probe the table could not be asked for.
+    pub fn enter_alone(&mut self, now: instant::Instant, print: once::Print) -> super::Pass {
+        match self.decide(now, print) {
+            super::Pass::Probe if self.is_paused(now, print) => super::Pass::Held,
+            super::Pass::Probe | super::Pass::Run => {
+                self.start(print);
+                super::Pass::Run
+            }
+            other => other,
+        }
+    }
+
+    /// Takes in how a run ended; returns the news for other hosts.
+    pub fn leave(
+        &mut self,
+        now: instant::Instant,
+        print: once::Print,
+        ending: super::Ending,
+    ) -> Option<super::Death> {
+        self.stop(print);
+        match ending {
+            super::Ending::Answered => self.trust(now, print),
+            super::Ending::Died(target) => return self.witness(now, print, target),
+            super::Ending::Neither => {}
+        }
+        None
+    }
+
+    /// Takes in news from another host; news that comes twice counts once.
+    pub fn hear(&mut self, now: instant::Instant, death: &super::Death) {
+        self.add(now, death.clone(), 1);
+    }
+
+    /// Returns whether a fingerprint is held back.
+    #[must_use]
+    pub fn is_held(&self, now: instant::Instant, print: once::Print) -> bool {
+        self.count(now, print) >= self.limits.deaths
+    }
+
+    fn decide(&self, now: instant::Instant, print: once::Print) -> super::Pass {
+        let deaths = self.count(now, print);
+        if deaths >= self.limits.deaths {
+            return super::Pass::Held;
+        }
+        if self.is_trusted(now, print) {
+            return super::Pass::Run;
+        }
+        if self.running.contains_key(&print) {
+            return super::Pass::Wait;
+        }
+        if deaths > 0 {
+            return super::Pass::Probe;
+        }
+        super::Pass::Run
+    }
+
+    /// The first death under a trusted fingerprint only ends the trust.
+    fn witness(
+        &mut self,
+        now: instant::Instant,
+        print: once::Print,
+        target: name::Target,
+    ) -> Option<super::Death> {
+        let was_trusted = self.is_trusted(now, print);
+        self.trusted.remove(&print);
+        self.number += 1;
+        let death = super::Death {
+            print,
+            target,
+            witness: self.witness.clone(),
+            number: self.number,
+        };
+        if was_trusted {
+            self.add(now, death, 0);
+            return None;
+        }
+        self.add(now, death.clone(), 1).then_some(death)
+    }
+
+    fn trust(&mut self, now: instant::Instant, print: once::Print) {
+        self.deaths.remove(&print);
+        if self.trusted.len() >= self.limits.prints {
+            self.trusted.retain(|_print, until| now < *until);
+        }
+        if self.trusted.len() < self.limits.prints {
+            self.trusted.insert(print, now + self.limits.trust);
+        }
+    }
+
+    fn add(&mut self, now: instant::Instant, death: super::Death, weight: usize) -> bool {
+        let window = self.limits.window;
+        if self.deaths.len() >= self.limits.prints {
+            self.deaths
+                .retain(|_print, seen| seen.iter().any(|s| now.since(s.at) < window));
+        }
+        let merge = self.limits.merge;
+        let known = self.deaths.entry(death.print).or_default();
+        known.retain(|s| now.since(s.at) < window);
+        let is_known = known.iter().any(|s| {
+            let is_repeat = s.death == death;
+            is_repeat || (s.death.target == death.target && now.since(s.at) < merge)
+        });
+        if !is_known {
+            let at = now;
+            known.push(Seen { death, at, weight });
+        }
+        !is_known
+    }
+
+    fn count(&self, now: instant::Instant, print: once::Print) -> usize {
+        let window = self.limits.window;
+        let seen = self.deaths.get(&print).into_iter().flatten();
+        seen.filter(|s| now.since(s.at) < window)
+            .map(|s| s.weight)
+            .sum()
+    }
+
+    fn is_paused(&self, now: instant::Instant, print: once::Print) -> bool {
+        let pause = self.limits.pause;
+        let mut seen = self.deaths.get(&print).into_iter().flatten();
+        seen.any(|s| now.since(s.at) < pause)
+    }
+
+    fn is_trusted(&self, now: instant::Instant, print: once::Print) -> bool {
+        self.trusted.get(&print).is_some_and(|until| now < *until)
+    }
+
+    fn start(&mut self, print: once::Print) {
+        *self.running.entry(print).or_insert(0) += 1;
+    }
+
+    fn stop(&mut self, print: once::Print) {
+        if let Some(count) = self.running.get_mut(&print) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&print);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,264 @@
+//! Deaths of targets under a request that crashes each target that runs it.
+//!
+//! The model resends the request through every host, with news between hosts
+//! that is lost, late and repeated, and a table that can be cut off.
+
+use std::time;
+
+use arbtest::arbitrary;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use skylark_core::instant;
+use skylark_core::name;
+use skylark_core::once;
+use skylark_core::quarantine;
+use skylark_core::timestamp;
+
+const SCHEDULES: u64 = 1_500;
+const BYTES: usize = 6_144;
+const HOSTS: usize = 8;
+
+/// How the hosts of a run hear of each other and of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Links {
+    /// News and the table's answers arrive, if late.
+    Whole,
+    /// Nothing arrives at any other host, nor the table.
+    Cut,
+    /// No quarantine at all.
+    None,
+}
+
+struct World {
+    links: Links,
+    now: instant::Instant,
+    wards: Vec<quarantine::Ward>,
+    running: Vec<bool>,
+    news: Vec<(usize, quarantine::Death)>,
+    row: Option<quarantine::Probe>,
+    probes: usize,
+    dead: usize,
+}
+
+fn print() -> once::Print {
+    once::Print::new(None, "GET", "/stock?crash", b"")
+}
+
+fn target(number: usize) -> name::Target {
+    name::Target::new(&format!("target-{number}")).expect("a name")
+}
+
+fn ward(host: usize) -> quarantine::Ward {
+    let witness = name::Incarnation::new(&format!("host-{host}")).expect("a name");
+    quarantine::Ward::new(quarantine::Limits::default(), &witness)
+}
+
+impl World {
+    fn new(links: Links) -> Self {
+        Self {
+            links,
+            now: instant::Instant::ORIGIN,
+            wards: (0..HOSTS).map(ward).collect(),
+            running: vec![false; HOSTS],
+            news: Vec::new(),
+            row: None,
+            probes: 0,
+            dead: 0,
+        }
+    }
+
+    fn wall(&self) -> timestamp::Timestamp {
+        timestamp::Timestamp::from_millis(self.now.as_micros() / 1_000)
+    }
+
+    /// The caller sends the request through a host.
+    fn send(&mut self, host: usize) {
+        let pass = self.wards[host].enter(self.now, print());
+        let pass = match (self.links, pass) {
+            (Links::None, _) => quarantine::Pass::Run,
+            (Links::Cut, quarantine::Pass::Probe) => {
+                self.wards[host].enter_alone(self.now, print())
+            }
+            (Links::Whole, quarantine::Pass::Probe) => self.probe(host),
+            (_, pass) => pass,
+        };
+        if pass == quarantine::Pass::Run && !self.running[host] {
+            self.running[host] = true;
+        }
+    }
+
+    fn probe(&mut self, host: usize) -> quarantine::Pass {
+        let window = quarantine::Limits::default().window;
+        let wall = self.wall();
+        if self
+            .row
+            .as_ref()
+            .is_some_and(|row| row.is_held(wall, window))
+        {
+            return quarantine::Pass::Held;
+        }
+        self.probes += 1;
+        self.row = Some(quarantine::Probe {
+            write: format!("probe-{}", self.probes),
+            taken: wall,
+        });
+        self.wards[host].enter_probed(self.now, print())
+    }
+
+    /// The target that runs the request for a host dies.
+    fn die(&mut self, host: usize) {
+        if !std::mem::take(&mut self.running[host]) {
+            return;
+        }
+        self.dead += 1;
+        let ending = quarantine::Ending::Died(target(self.dead));
+        let death = self.wards[host].leave(self.now, print(), ending);
+        if self.links != Links::Whole {
+            return;
+        }
+        for other in (0..HOSTS).filter(|other| *other != host) {
+            self.news.extend(death.clone().map(|death| (other, death)));
+        }
+    }
+
+    fn hear(&mut self, u: &mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()> {
+        if self.news.is_empty() {
+            return Ok(());
+        }
+        let index = u.choose_index(self.news.len())?;
+        let (host, death) = self.news[index].clone();
+        if !u.ratio(1, 4)? {
+            self.news.swap_remove(index);
+        }
+        self.wards[host].hear(self.now, &death);
+        Ok(())
+    }
+
+    fn step(&mut self, u: &mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()> {
+        self.now = self.now + time::Duration::from_millis(u.int_in_range(0..=300)?);
+        let host = u.choose_index(HOSTS)?;
+        match u.int_in_range(0..=3)? {
+            0 | 1 => self.send(host),
+            2 => self.die(host),
+            _ => self.hear(u)?,
+        }
+        Ok(())
+    }
+}
+
+/// Returns the most deaths within one window over all schedules.
+fn worst(links: Links) -> usize {
+    let mut worst = 0;
+    for seed in 0..SCHEDULES {
+        let mut bytes = vec![0; BYTES];
+        rand_chacha::ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut bytes);
+        let mut u = arbitrary::Unstructured::new(&bytes);
+        let mut world = World::new(links);
+        let window = quarantine::Limits::default().window;
+        while !u.is_empty() && world.now.since(instant::Instant::ORIGIN) < window {
+            world.step(&mut u).expect("bytes enough");
+        }
+        worst = worst.max(world.dead);
+    }
+    println!("{links:?}: most deaths {worst}");
+    worst
+}
+
+#[test]
+fn resent_through_every_host_at_once_it_kills_one_target_a_host_and_one_more() {
+    let most = worst(Links::Whole);
+    assert!((2..=HOSTS + 1).contains(&most), "{most}");
+}
+
+#[test]
+fn with_every_host_cut_off_it_kills_two_targets_a_host() {
+    let most = worst(Links::Cut);
+    assert!((HOSTS..=2 * HOSTS).contains(&most), "{most}");
+}
+
+#[test]
+fn without_a_quarantine_it_kills_more_than_all_targets() {
+    assert!(worst(Links::None) > 2 * HOSTS);
+}
+
+#[test]
+fn sent_again_after_each_answer_it_kills_two_targets() {
+    let mut world = World::new(Links::Whole);
+    for round in 0..100 {
+        let host = round % HOSTS;
+        world.now = world.now + time::Duration::from_millis(50);
+        world.send(host);
+        world.die(host);
+        for (host, death) in std::mem::take(&mut world.news) {
+            world.wards[host].hear(world.now, &death);
+        }
+    }
+    assert_eq!(world.dead, 2);
+    assert!(
+        world
+            .wards
+            .iter()
+            .all(|ward| ward.is_held(world.now, print()))
+    );
+}
+
+#[test]
+fn a_popular_request_outlives_a_dying_target_that_ran_it() {
+    let mut ward = ward(0);
+    let now = instant::Instant::ORIGIN;
+    assert_eq!(ward.enter(now, print()), quarantine::Pass::Run);
+    assert_eq!(ward.enter(now, print()), quarantine::Pass::Wait);
+    ward.leave(now, print(), quarantine::Ending::Answered);
+    for _ in 0..5 {
+        assert_eq!(ward.enter(now, print()), quarantine::Pass::Run);
+    }
+    for _ in 0..5 {
+        ward.leave(now, print(), quarantine::Ending::Died(target(1)));
+    }
+    assert_eq!(ward.enter(now, print()), quarantine::Pass::Run);
+}
+
+#[test]
+fn an_unlucky_request_is_tried_again_with_the_probe_and_then_free() {
+    let mut ward = ward(0);
+    let now = instant::Instant::ORIGIN;
+    ward.enter(now, print());
+    let death = ward.leave(now, print(), quarantine::Ending::Died(target(1)));
+    assert!(death.is_some());
+    assert_eq!(ward.enter(now, print()), quarantine::Pass::Probe);
+    assert_eq!(ward.enter_probed(now, print()), quarantine::Pass::Run);
+    ward.leave(now, print(), quarantine::Ending::Answered);
+    assert_eq!(ward.enter(now, print()), quarantine::Pass::Run);
+}
+
+#[test]
+fn cut_off_from_the_table_a_suspect_request_waits_out_the_pause() {
+    let mut ward = ward(0);
+    let now = instant::Instant::ORIGIN;
+    ward.enter(now, print());
+    ward.leave(now, print(), quarantine::Ending::Died(target(1)));
+    assert_eq!(ward.enter_alone(now, print()), quarantine::Pass::Held);
+    let later = now + quarantine::Limits::default().pause;
+    assert_eq!(ward.enter_alone(later, print()), quarantine::Pass::Run);
+    ward.leave(later, print(), quarantine::Ending::Died(target(2)));
+    assert_eq!(ward.enter(later, print()), quarantine::Pass::Held);
+    let end = later + quarantine::Limits::default().window;
+    assert_eq!(ward.enter(end, print()), quarantine::Pass::Run);
+}
+
+#[test]
+fn news_that_comes_twice_counts_once() {
+    let mut ward = ward(0);
+    let mut now = instant::Instant::ORIGIN;
+    let death = quarantine::Death {
+        print: print(),
+        target: target(1),
+        witness: name::Incarnation::new("host-1").expect("a name"),
+        number: 1,
+    };
+    for _ in 0..3 {
+        ward.hear(now, &death);
+        now = now + time::Duration::from_secs(5);
+    }
+    assert!(!ward.is_held(now, print()));
+}
