Run each order at its home, and hold crashing requests back on every host

Cause: the thin path kept an unbounded map of keys in the receiver, refused every key of another host, and let a request that crashes its target walk on.

Change: the receiver passes an order to the home that its key names, by tarpc on a port of its own; the home runs it in a task that outlives its caller and tells every resend the first answer. Keys without a home are claimed in the table and read back by write id. Look-up answers carry the home with its time of issue, renewed every 10 s. Refusals before the home say "not run" of a keyed request only for a first attempt. Exchanges close their connection unless it is given back whole, check the deadline directly before the send, and take no answer without a length. Fingerprints enter the quarantine before each exchange; deaths go to all known hosts at once.

--- a/crates/core/src/once/answer.rs
+++ b/crates/core/src/once/answer.rs
@@ -1,8 +1,12 @@
 //! Whole answers of targets, kept for resends.
 
+use crate::name;
+
 /// The whole answer of a target.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Answer {
+    /// Target that answered.
+    pub target: name::Target,
     /// HTTP status code.
     pub status: u16,
     /// Header fields that the caller receives.
--- a/crates/core/src/once/permit.rs
+++ b/crates/core/src/once/permit.rs
@@ -16,4 +16,10 @@
     pub fn id(&self) -> super::Id {
         self.id
     }
+
+    /// Returns the generation in which the ledger keeps the key.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
 }
--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -479,6 +479,7 @@
         }
         let fate = match reply {
             Some(Reply::Answer(body)) => once::Fate::Answered(sync::Arc::new(once::Answer {
+                target: name::Target::new("target-1").expect("a name"),
                 status: 200,
                 fields: Vec::new(),
                 body,
--- a/crates/core/tests/once_ledger.rs
+++ b/crates/core/tests/once_ledger.rs
@@ -52,6 +52,7 @@
 
 fn answer(size: usize) -> once::Fate {
     once::Fate::Answered(sync::Arc::new(once::Answer {
+        target: name::Target::new("target-1").expect("a name"),
         status: 201,
         fields: Vec::new(),
         body: vec![b'x'; size],
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,11 +1,10 @@
 //! One exchange with a target.
 
-use std::time;
-
 use http_body_util::BodyExt as _;
 use hyper::header;
 use skylark_core::name;
 use skylark_core::record;
+use skylark_runtime::clock;
 use skylark_wire::header as names;
 
 use super::answer;
@@ -17,7 +16,9 @@
 pub enum Failure {
     /// The target did not start the request: another may.
     NotStarted,
-    /// The target may have started the request.
+    /// The connection broke after the request may have been started.
+    Broken,
+    /// The target's answer cannot be trusted to be whole and the request's own.
     Unknown,
     /// The time ran out after the request may have been started.
     TimedOut,
@@ -36,14 +37,19 @@
     target: &record::Target,
     request: &exchange::Request,
     account: Option<&name::Account>,
-    limit: time::Duration,
+    clock: &clock::Clock,
 ) -> Result<exchange::Answer> {
-    let connecting = tokio::time::timeout(limit, pool.take(target.address)).await;
+    let left = request.left(clock.now());
+    let connecting = tokio::time::timeout(left, pool.take(target.address)).await;
     let Ok(Ok(sender)) = connecting else {
         return Err(Failure::NotStarted);
     };
     let outgoing = outgoing(target, request, account);
-    match tokio::time::timeout(limit, run(pool, target, request, sender, outgoing)).await {
+    let left = request.left(clock.now());
+    if left.is_zero() {
+        return Err(Failure::NotStarted);
+    }
+    match tokio::time::timeout(left, run(pool, target, request, sender, outgoing)).await {
         Ok(result) => result,
         Err(_elapsed) => Err(Failure::TimedOut),
     }
@@ -56,7 +62,7 @@
     mut sender: pool::Sender,
     outgoing: hyper::Request<pool::Body>,
 ) -> Result<exchange::Answer> {
-    let response = match sender.try_send_request(outgoing).await {
+    let response = match sender.send(outgoing).await {
         Ok(response) => response,
         Err(mut error) => return Err(failure(error.take_message().is_some())),
     };
@@ -64,15 +70,15 @@
     let body = body
         .collect()
         .await
-        .map_err(|_error| Failure::Unknown)?
+        .map_err(|_error| Failure::Broken)?
         .to_bytes();
+    if is_crossed(&head.headers, &request.id) || !is_delimited(&head) {
+        return Err(Failure::Unknown);
+    }
     pool.give(target.address, sender);
     if head.headers.contains_key(names::NOT_STARTED) {
         return Err(Failure::NotStarted);
     }
-    if is_crossed(&head.headers, &request.id) {
-        return Err(Failure::Unknown);
-    }
     let name = target.name.clone();
     Ok(exchange::Answer {
         status: head.status,
@@ -87,10 +93,17 @@
     if is_unsent {
         Failure::NotStarted
     } else {
-        Failure::Unknown
+        Failure::Broken
     }
 }
 
+/// Returns whether the end of an answer's body shows that the body is whole.
+fn is_delimited(head: &hyper::http::response::Parts) -> bool {
+    let is_bodiless = matches!(head.status.as_u16(), 204 | 304);
+    let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
+    is_bodiless || has_length || head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns whether an answer states that it belongs to another request.
 fn is_crossed(headers: &hyper::HeaderMap, id: &str) -> bool {
     headers
@@ -135,7 +148,7 @@
 }
 
 /// Returns whether a target may see a header: never one that can hold the caller's key.
-fn is_forwarded(name: &header::HeaderName) -> bool {
+pub fn is_forwarded(name: &header::HeaderName) -> bool {
     let is_secret = *name == header::AUTHORIZATION || *name == header::COOKIE;
     let is_ours = [names::ACCOUNT, names::REQUEST_ID].contains(&name.as_str());
     let is_length = *name == header::CONTENT_LENGTH || *name == header::HOST;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod options;
 mod pipeline;
 mod pool;
+mod quarantine;
 mod serve;
 mod settings;
 mod state;
@@ -55,6 +56,8 @@
     supervise(&mut tree, &state);
     let tasks = tokio::spawn(tree.run());
     serve::run(listener, &state, &stop).await;
+    state.book.leave();
+    once::end(&state, state.settings.drain.get()).await;
     journal::flush(&state).await;
     finished.ask();
     let _ended = tasks.await;
@@ -66,6 +69,10 @@
     let shared = sync::Arc::clone(state);
     tree.spawn("control", move || control::serve(sync::Arc::clone(&shared)));
     let shared = sync::Arc::clone(state);
+    tree.spawn("home", move || once::serve(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
+    tree.spawn("ledger copy", move || once::keep(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
     tree.spawn("journal", move || journal::run(sync::Arc::clone(&shared)));
     let shared = sync::Arc::clone(state);
     let ready: admin::Ready = sync::Arc::new(move || shared.is_ready());
--- /dev/null
+++ b/crates/entry/src/once/mod.rs
@@ -0,0 +1,21 @@
+//! At most one start of each non-idempotent request.
+//!
+//! The receiver of a request passes it to the home that its key names, or
+//! claims a key without a home in the table. The home runs it in a task of its
+//! own, so that neither a caller nor another host that goes away stops it.
+
+mod book;
+mod claim;
+mod copy;
+mod message;
+mod peers;
+mod receive;
+mod run;
+mod serve;
+
+pub use book::Book;
+pub use copy::{end, keep};
+pub use message::print;
+pub use peers::{Peers, spread};
+pub use receive::{attempt, receive};
+pub use serve::serve;
--- /dev/null
+++ b/crates/entry/src/once/peers.rs
@@ -0,0 +1,111 @@
+//! Connections to the entry processes of other hosts.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use skylark_core::name;
+use skylark_core::quarantine;
+use skylark_core::record;
+use skylark_wire::home;
+use skylark_wire::rpc;
+use tarpc::client;
+use tarpc::context;
+
+use crate::state;
+
+const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(500);
+const NEWS_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Connections to the entry processes of other hosts, by their life.
+#[derive(Debug, Default)]
+pub struct Peers {
+    clients: sync::Mutex<collections::HashMap<name::Incarnation, home::HomeClient>>,
+}
+
+/// How far a call to a home got.
+#[derive(Debug)]
+pub enum Passed {
+    /// Nothing was sent.
+    No,
+    /// The request may have reached the home, whose word did not arrive.
+    Lost,
+    /// The home's word.
+    Told(home::Reply),
+}
+
+/// Passes a request to its home and waits for the home's word.
+pub async fn pass(
+    state: &state::State,
+    holder: &name::Incarnation,
+    call: home::Call,
+    limit: time::Duration,
+) -> Passed {
+    let Some(client) = connected(state, holder, limit.min(CONNECT_LIMIT)).await else {
+        return Passed::No;
+    };
+    let mut context = context::current();
+    context.deadline = time::Instant::now() + limit;
+    if let Ok(reply) = client.begin(context, call).await {
+        return Passed::Told(reply);
+    }
+    state.peers.lock().remove(holder);
+    Passed::Lost
+}
+
+/// Tells every other known host of a target that died.
+pub fn spread(state: &sync::Arc<state::State>, death: &quarantine::Death) {
+    for host in state.view().hosts.iter() {
+        if host.incarnation == state.incarnation {
+            continue;
+        }
+        let state = sync::Arc::clone(state);
+        let peer = host.incarnation.clone();
+        let death = death.clone();
+        tokio::spawn(async move { tell(&state, &peer, death).await });
+    }
+}
+
+async fn tell(state: &state::State, peer: &name::Incarnation, death: quarantine::Death) {
+    let Some(client) = connected(state, peer, CONNECT_LIMIT).await else {
+        return;
+    };
+    let mut context = context::current();
+    context.deadline = time::Instant::now() + NEWS_LIMIT;
+    if let Err(error) = client.hear(context, death).await {
+        log::debug!(peer:% = peer, error:% = error; "news not heard");
+        state.peers.lock().remove(peer);
+    }
+}
+
+async fn connected(
+    state: &state::State,
+    holder: &name::Incarnation,
+    limit: time::Duration,
+) -> Option<home::HomeClient> {
+    if let Some(client) = state.peers.lock().get(holder) {
+        return Some(client.clone());
+    }
+    let address = address(state, holder)?;
+    let connecting = tokio::time::timeout(limit, rpc::connect_compact(address));
+    let transport = connecting.await.ok()?.ok()?;
+    let client = home::HomeClient::new(client::Config::default(), transport).spawn();
+    let mut clients = state.peers.lock();
+    Some(clients.entry(holder.clone()).or_insert(client).clone())
+}
+
+fn address(state: &state::State, holder: &name::Incarnation) -> Option<record::Address> {
+    let view = state.view();
+    let host = view.hosts.iter().find(|host| host.incarnation == *holder)?;
+    Some(host.ports.home)
+}
+
+impl Peers {
+    fn lock(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::HashMap<name::Incarnation, home::HomeClient>> {
+        self.clients
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/once/receive.rs
@@ -0,0 +1,102 @@
+//! The receiver's side: to the home, or to the holder of a claim.
+
+use std::sync;
+
+use skylark_core::kind;
+use skylark_core::name;
+use skylark_core::once;
+use skylark_wire::header;
+
+use super::claim;
+use super::copy;
+use super::message;
+use super::peers;
+use super::run;
+use crate::exchange;
+use crate::state;
+
+/// Runs a non-idempotent request at most once under its idempotency key.
+///
+/// # Errors
+///
+/// Refuses with "not run" only what has not run and never will under its key.
+pub async fn receive(
+    state: &sync::Arc<state::State>,
+    account: Option<name::Account>,
+    request: exchange::Request,
+) -> exchange::Result<exchange::Answer> {
+    let attempt = attempt(&request.headers);
+    let bad = exchange::Refusal::new(kind::ErrorKind::BadRequest);
+    let key = key(&request.headers).ok_or(bad)?;
+    let Some(home) = key.home() else {
+        return receive_bare(state, account, key, request, attempt).await;
+    };
+    if home.incarnation == state.incarnation {
+        return run::begin(state, account, key, request).await;
+    }
+    let holder = home.incarnation.clone();
+    pass(state, &holder, account, &key, &request, attempt).await
+}
+
+/// Returns which attempt a request says it is.
+pub fn attempt(headers: &hyper::HeaderMap) -> once::Attempt {
+    let text = headers.get(header::ATTEMPT);
+    once::Attempt::read(text.and_then(|value| value.to_str().ok()))
+}
+
+fn key(headers: &hyper::HeaderMap) -> Option<once::Key> {
+    let text = headers.get(header::IDEMPOTENCY_KEY)?.to_str().ok()?;
+    once::Key::new(text).ok()
+}
+
+async fn receive_bare(
+    state: &sync::Arc<state::State>,
+    account: Option<name::Account>,
+    key: once::Key,
+    request: exchange::Request,
+    attempt: once::Attempt,
+) -> exchange::Result<exchange::Answer> {
+    let print = message::print(account.as_ref(), &request);
+    match claim::claim(state, &key, print, request.deadline).await {
+        Some(once::Holding::Own) => run::begin_claimed(state, account, key, request).await,
+        Some(once::Holding::Other(holder)) if holder == state.incarnation => {
+            run::begin(state, account, key, request).await
+        }
+        Some(once::Holding::Other(holder)) => {
+            let later = once::Attempt::Later;
+            pass(state, &holder, account, &key, &request, later).await
+        }
+        Some(once::Holding::Reused) => message::outcome(&once::Begin::Reused),
+        None => Err(held(attempt)),
+    }
+}
+
+/// Passes a request to the process that alone may start it.
+async fn pass(
+    state: &state::State,
+    holder: &name::Incarnation,
+    account: Option<name::Account>,
+    key: &once::Key,
+    request: &exchange::Request,
+    attempt: once::Attempt,
+) -> exchange::Result<exchange::Answer> {
+    let now = state.clock.now();
+    let call = message::call(request, key, account.as_ref(), now);
+    let reach = match peers::pass(state, holder, call, request.left(now)).await {
+        peers::Passed::Told(reply) => return message::result(&reply),
+        peers::Passed::No => once::Reach::Held,
+        peers::Passed::Lost => once::Reach::Passed,
+    };
+    let print = message::print(account.as_ref(), request);
+    let left = request.left(state.clock.now());
+    if let Some(begin) = copy::recall(state, holder, key, print, left).await {
+        return message::outcome(&begin);
+    }
+    let refusal = exchange::Refusal::new(kind::ErrorKind::HomeUnreachable);
+    Err(refusal.with_outcome(reach.outcome(attempt)))
+}
+
+fn held(attempt: once::Attempt) -> exchange::Refusal {
+    let refusal = exchange::Refusal::new(kind::ErrorKind::HomeUnreachable);
+    refusal.with_outcome(once::Reach::Held.outcome(attempt))
+}
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -1,13 +1,17 @@
 //! The steps from a caller's request to its answer.
 
+use std::sync;
 use std::time;
 
 use cadence::CountedExt as _;
 use cadence::Timed as _;
 use http_body_util::BodyExt as _;
+use skylark_core::catalog;
 use skylark_core::instant;
 use skylark_core::kind;
 use skylark_core::name;
+use skylark_core::once as rules;
+use skylark_core::quarantine as wards;
 use skylark_core::record;
 use skylark_wire::header;
 
@@ -17,6 +21,7 @@
 use super::identity;
 use super::journal;
 use super::once;
+use super::quarantine;
 use super::state;
 use super::view;
 
@@ -25,7 +30,7 @@
 
 /// Answers one request of a caller.
 pub async fn handle(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     incoming: hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<answer::Body> {
     let id = state.next_request();
@@ -58,16 +63,43 @@
 }
 
 async fn serve(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     view: &view::View,
     id: &str,
     arrived: instant::Instant,
     incoming: hyper::Request<hyper::body::Incoming>,
 ) -> exchange::Result<exchange::Answer> {
+    let (head, body) = incoming.into_parts();
+    let is_keyed = head.headers.contains_key(header::IDEMPOTENCY_KEY);
+    let attempt = once::attempt(&head.headers);
+    let prepared = prepare(state, view, id, arrived, head, body).await;
+    let (account, place, request) = match prepared {
+        Ok(prepared) => prepared,
+        Err(refusal) if is_keyed => {
+            let outcome = rules::Reach::Held.outcome(attempt);
+            return Err(refusal.with_outcome(outcome));
+        }
+        Err(refusal) => return Err(refusal),
+    };
+    if !place.route.idempotent {
+        return once::receive(state, account, request).await;
+    }
+    admit(state, account.as_ref())?;
+    run(state, view, place.service, account.as_ref(), &request).await
+}
+
+/// Reads a request whole and finds its client account and route.
+async fn prepare<'a>(
+    state: &state::State,
+    view: &'a view::View,
+    id: &str,
+    arrived: instant::Instant,
+    head: hyper::http::request::Parts,
+    body: hyper::body::Incoming,
+) -> exchange::Result<(Option<name::Account>, catalog::Place<'a>, exchange::Request)> {
     if !view.is_ready() {
         return Err(exchange::Refusal::new(kind::ErrorKind::NotReady));
     }
-    let (head, body) = incoming.into_parts();
     let place = view.catalog.route(head.method.as_str(), head.uri.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
     let account = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
@@ -81,11 +113,26 @@
         body,
         deadline: arrived + limit,
     };
-    if place.route.idempotent {
-        admit(state, account.as_ref())?;
-        return run(state, view, place.service, account.as_ref(), &request).await;
-    }
-    run_once(state, view, place.service, account.as_ref(), &request).await
+    Ok((account, place, request))
+}
+
+/// Runs a request that its idempotency key lets start.
+///
+/// # Errors
+///
+/// Refuses with "not run" only what no target has started.
+pub async fn run_started(
+    state: &sync::Arc<state::State>,
+    account: Option<&name::Account>,
+    request: &exchange::Request,
+) -> exchange::Result<exchange::Answer> {
+    let view = state.view();
+    let place = view
+        .catalog
+        .route(request.method.as_str(), request.target.path());
+    let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
+    admit(state, account)?;
+    run(state, &view, place.service, account, request).await
 }
 
 fn admit(state: &state::State, account: Option<&name::Account>) -> exchange::Result<()> {
@@ -119,29 +166,31 @@
 
 /// Runs a request that may be sent to several targets in turn while none has started it.
 async fn run(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     view: &view::View,
     service: &record::Service,
     account: Option<&name::Account>,
     request: &exchange::Request,
 ) -> exchange::Result<exchange::Answer> {
+    let print = once::print(account, request);
     let mut tried = Vec::new();
     while tried.len() < TARGETS_PER_REQUEST {
+        let stay = quarantine::enter(state, print, request.deadline).await?;
         let zone = &state.settings.zone;
         let Some((target, slot)) = state.balance.choose(&view.catalog, service, zone, &tried)
         else {
             break;
         };
-        let left = request.left(state.clock.now());
-        if left.is_zero() {
+        if request.left(state.clock.now()).is_zero() {
             return Err(exchange::Refusal::new(kind::ErrorKind::DeadlineUnmet));
         }
-        let result = forward::send(&state.pool, &target, request, account, left).await;
+        let result = forward::send(&state.pool, &target, request, account, &state.clock).await;
         drop(slot);
+        stay.end(ending(&result, &target.name));
         match result {
             Ok(answer) => return Ok(answer),
             Err(forward::Failure::NotStarted) => tried.push(target.name),
-            Err(forward::Failure::Unknown) => {
+            Err(forward::Failure::Broken | forward::Failure::Unknown) => {
                 return Err(exchange::Refusal::new(kind::ErrorKind::TargetFailed));
             }
             Err(forward::Failure::TimedOut) => {
@@ -153,37 +202,11 @@
     Err(exchange::Refusal::new(kind::ErrorKind::NoTarget))
 }
 
-/// Runs a non-idempotent request, at most once under its idempotency key.
-async fn run_once(
-    state: &state::State,
-    view: &view::View,
-    service: &record::Service,
-    account: Option<&name::Account>,
-    request: &exchange::Request,
-) -> exchange::Result<exchange::Answer> {
-    let bad = exchange::Refusal::new(kind::ErrorKind::BadRequest);
-    let key = request.headers.get(header::IDEMPOTENCY_KEY);
-    let text = key
-        .and_then(|value| value.to_str().ok())
-        .ok_or(bad.clone())?;
-    let account = account.ok_or(bad)?;
-    let home = text.split_once('.').map(|(home, _unique)| home);
-    if home != Some(state.incarnation.as_str()) {
-        return Err(exchange::Refusal::new(kind::ErrorKind::HomeUnreachable));
-    }
-    let key = once::Key {
-        account: account.clone(),
-        text: text.to_owned(),
-    };
-    match state.once.begin(&key)? {
-        once::Begin::Ended(result) => result,
-        once::Begin::Start => {
-            let result = match state.admission.admit(account, state.clock.now()) {
-                Ok(()) => run(state, view, service, Some(account), request).await,
-                Err(refusal) => Err(refusal),
-            };
-            state.once.finish(&key, &result);
-            result
-        }
+/// Returns what an exchange tells of its request's fingerprint.
+fn ending(result: &forward::Result<exchange::Answer>, target: &name::Target) -> wards::Ending {
+    match result {
+        Ok(_answer) => wards::Ending::Answered,
+        Err(forward::Failure::Broken) => wards::Ending::Died(target.clone()),
+        Err(_other) => wards::Ending::Neither,
     }
 }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -13,8 +13,39 @@
 /// Body of a request to a target.
 pub type Body = http_body_util::Full<Bytes>;
 
-/// A connection that is ready for one exchange.
-pub type Sender = http1::SendRequest<Body>;
+/// A connection that carries one exchange, and is closed unless it is given back.
+#[derive(Debug)]
+pub struct Sender {
+    inner: http1::SendRequest<Body>,
+    _task: Task,
+}
+
+/// The task that drives a connection, ended with its owner.
+#[derive(Debug)]
+struct Task(tokio::task::AbortHandle);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Sender {
+    /// Sends one request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks; the error holds a request of which nothing was sent.
+    pub async fn send(&mut self, request: hyper::Request<Body>) -> Sent {
+        self.inner.try_send_request(request).await
+    }
+}
+
+/// The head of an answer, or a failed send.
+pub type Sent = std::result::Result<
+    hyper::Response<hyper::body::Incoming>,
+    hyper::client::conn::TrySendError<hyper::Request<Body>>,
+>;
 
 /// Result of opening a connection.
 pub type Result<T> = std::io::Result<T>;
@@ -33,19 +64,20 @@
     /// Fails when a new connection is refused: nothing was sent.
     pub async fn take(&self, address: record::Address) -> Result<Sender> {
         while let Some(sender) = self.pop(address) {
-            if sender.is_ready() {
+            if sender.inner.is_ready() {
                 return Ok(sender);
             }
         }
         let stream = tokio::net::TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(rt::TokioIo::new(stream))
+        let (inner, connection) = http1::handshake(rt::TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
-        tokio::spawn(async move {
+        let driven = tokio::spawn(async move {
             let _closed = connection.await;
         });
-        Ok(sender)
+        let task = Task(driven.abort_handle());
+        Ok(Sender { inner, _task: task })
     }
 
     /// Keeps a connection whose exchange has ended whole.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -16,6 +16,8 @@
     pub listen: record::Address,
     /// Address that takes the control process's calls.
     pub control: record::Address,
+    /// Address that takes requests whose home is here from other hosts.
+    pub home: record::Address,
     /// Address of health and readiness.
     pub admin: record::Address,
     /// Base address of the platform, such as `http://127.10.0.1:7000`.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,6 +15,7 @@
 use super::journal;
 use super::once;
 use super::pool;
+use super::quarantine;
 use super::settings;
 use super::view;
 
@@ -32,7 +33,11 @@
     /// Rates of client accounts.
     pub admission: admission::Admission,
     /// Idempotency keys whose home is this process.
-    pub once: once::Once,
+    pub book: once::Book,
+    /// Connections to the entry processes of other hosts.
+    pub peers: once::Peers,
+    /// What is known of requests that crash targets.
+    pub ward: quarantine::Ward,
     /// What is known of targets.
     pub balance: balance::Balance,
     /// Connections to targets.
@@ -53,12 +58,16 @@
     ///
     /// Fails when no incarnation can be drawn or metrics cannot be sent.
     pub fn new(settings: settings::Settings) -> error::Result<Self> {
+        let clock = clock::Clock::new();
+        let incarnation = identity::incarnation(&settings.host)?;
         Ok(Self {
-            incarnation: identity::incarnation(&settings.host)?,
-            clock: clock::Clock::new(),
+            book: once::Book::new(clock.wall()),
+            peers: once::Peers::default(),
+            ward: quarantine::Ward::new(&incarnation),
+            incarnation,
+            clock,
             metrics: metrics::sender("skylark.entry", settings.statsd)?,
             admission: admission::Admission::default(),
-            once: once::Once::default(),
             balance: balance::Balance::default(),
             pool: pool::Pool::default(),
             journal: journal::Journal::default(),
--- a/crates/lookup/src/answer.rs
+++ b/crates/lookup/src/answer.rs
@@ -5,17 +5,21 @@
 use bytes::Bytes;
 use skylark_core::catalog;
 use skylark_core::name;
+use skylark_core::once;
 use skylark_core::record;
 use skylark_core::unit;
 use skylark_wire::control;
 
+/// Time for which answers carry one time of issue, in seconds.
+const ISSUE_SECONDS: u64 = 10;
+
 /// What a caller is told.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Reply {
     /// Entry hosts, the best first.
     pub hosts: Vec<Entry>,
-    /// Incarnation with which the caller begins its idempotency keys.
-    pub home: Option<name::Incarnation>,
+    /// Home with its time of issue, with which the caller begins its idempotency keys.
+    pub home: Option<String>,
     /// Time for which the caller may keep the answer, in milliseconds.
     #[serde(rename = "ttl_ms")]
     pub ttl_millis: u64,
@@ -38,22 +42,30 @@
 #[derive(Clone, Debug, Default)]
 pub struct Answers {
     zones: collections::BTreeMap<name::Zone, Vec<Bytes>>,
+    issued: u64,
 }
 
 impl Answers {
     /// Renders the answers of a view.
     #[must_use]
-    pub fn new(catalog: &catalog::Catalog, hosts: &[control::Host]) -> Self {
+    pub fn new(catalog: &catalog::Catalog, hosts: &[control::Host], issued: u64) -> Self {
         let serving: Vec<&control::Host> = hosts
             .iter()
             .filter(|host| is_named(catalog, host))
             .collect();
-        let render = |zone: &name::Zone| (zone.clone(), rotations(catalog, &serving, zone));
+        let render = |zone: &name::Zone| (zone.clone(), rotations(catalog, &serving, zone, issued));
         Self {
             zones: catalog.zones.keys().map(render).collect(),
+            issued,
         }
     }
 
+    /// Returns whether the homes' time of issue is out of date at `seconds` since the Unix epoch.
+    #[must_use]
+    pub fn is_old(&self, seconds: u64) -> bool {
+        seconds.abs_diff(self.issued) >= ISSUE_SECONDS
+    }
+
     /// Returns an answer for a caller of the zone; `turn` spreads callers over equal hosts.
     #[must_use]
     pub fn get(&self, zone: &str, turn: usize) -> Option<Bytes> {
@@ -78,6 +90,7 @@
     catalog: &catalog::Catalog,
     hosts: &[&control::Host],
     zone: &name::Zone,
+    issued: u64,
 ) -> Vec<Bytes> {
     let mut ranked = hosts.to_vec();
     ranked.sort_by_key(|host| (rank(catalog, zone, host), host.host.clone()));
@@ -89,7 +102,7 @@
     let turn = |first: usize| {
         let mut order = ranked.clone();
         order[..equals].rotate_left(first);
-        render(catalog, &order)
+        render(catalog, &order, issued)
     };
     (0..equals.max(1)).map(turn).collect()
 }
@@ -103,7 +116,7 @@
     if is_near { 1 } else { 2 }
 }
 
-fn render(catalog: &catalog::Catalog, order: &[&control::Host]) -> Bytes {
+fn render(catalog: &catalog::Catalog, order: &[&control::Host], issued: u64) -> Bytes {
     let entry = |host: &&control::Host| Entry {
         host: host.host.clone(),
         zone: host.zone.clone(),
@@ -112,7 +125,9 @@
     let ttl = catalog.policy.answer_ttl.get().as_millis();
     let reply = Reply {
         hosts: order.iter().map(entry).collect(),
-        home: order.first().map(|host| host.incarnation.clone()),
+        home: order
+            .first()
+            .map(|host| once::Home::new(&host.incarnation, issued).to_string()),
         ttl_millis: u64::try_from(ttl).unwrap_or(u64::MAX),
         version: catalog.version,
     };
--- a/crates/lookup/src/control.rs
+++ b/crates/lookup/src/control.rs
@@ -63,7 +63,7 @@
     let Some(catalog) = catalog(&present, told) else {
         return false;
     };
-    let answers = answer::Answers::new(&catalog, &told.hosts);
+    let answers = answer::Answers::new(&catalog, &told.hosts, state.seconds());
     state.set_view(state::View {
         catalog,
         hosts: told.hosts.clone(),
--- a/crates/lookup/src/serve.rs
+++ b/crates/lookup/src/serve.rs
@@ -75,7 +75,7 @@
         return status(hyper::StatusCode::NOT_FOUND);
     }
     let zone = zone(request.uri()).unwrap_or(state.settings.zone.as_str());
-    let Some(answer) = state.view().answers.get(zone, state.next_turn()) else {
+    let Some(answer) = state.recent_view().answers.get(zone, state.next_turn()) else {
         let _sent = state.metrics.incr("refused");
         return status(hyper::StatusCode::SERVICE_UNAVAILABLE);
     };
--- a/crates/lookup/src/state.rs
+++ b/crates/lookup/src/state.rs
@@ -13,6 +13,8 @@
 use super::error;
 use super::settings;
 
+const MILLIS_PER_SECOND: u64 = 1_000;
+
 /// Everything that the tasks of the look-up process share.
 #[derive(Debug)]
 pub struct State {
@@ -73,6 +75,35 @@
         *slot = sync::Arc::new(view);
     }
 
+    /// Returns what is in force, with answers whose time of issue is recent.
+    #[must_use]
+    pub fn recent_view(&self) -> sync::Arc<View> {
+        let view = self.view();
+        let seconds = self.seconds();
+        if !view.answers.is_old(seconds) {
+            return view;
+        }
+        let answers = answer::Answers::new(&view.catalog, &view.hosts, seconds);
+        let renewed = sync::Arc::new(View {
+            answers,
+            ..view.as_ref().clone()
+        });
+        let mut slot = self
+            .view
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if sync::Arc::ptr_eq(&slot, &view) {
+            *slot = sync::Arc::clone(&renewed);
+        }
+        renewed
+    }
+
+    /// Returns the wall-clock time, in seconds since the Unix epoch.
+    #[must_use]
+    pub fn seconds(&self) -> u64 {
+        self.clock.wall().as_millis() / MILLIS_PER_SECOND
+    }
+
     /// Returns whether any records are in force.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -51,6 +51,8 @@
     pub entry: record::Address,
     /// Where the entry process takes control messages.
     pub control: record::Address,
+    /// Where other hosts' entry processes pass on requests whose home is here.
+    pub home: record::Address,
     /// Where callers ask which entry host to use.
     pub lookup: record::Address,
     /// Where the control process hears its peers.
--- /dev/null
+++ b/crates/wire/src/home.rs
@@ -0,0 +1,53 @@
+//! What entry processes say to each other about single requests.
+
+use skylark_core::kind;
+use skylark_core::name;
+use skylark_core::once;
+use skylark_core::quarantine;
+
+/// The service that an entry process offers to those of other hosts.
+#[tarpc::service]
+pub trait Home {
+    /// Runs a request under a key that this process alone may start, or tells its outcome.
+    async fn begin(call: Call) -> Reply;
+
+    /// Takes in the news that a target died under a request.
+    async fn hear(death: quarantine::Death);
+}
+
+/// A request on its way to its home, without its caller's key.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Call {
+    /// Unique id of the request.
+    pub id: String,
+    /// Idempotency key.
+    pub key: once::Key,
+    /// Client account that the receiver found, none on a route open to all.
+    pub account: Option<name::Account>,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Header fields that a target may see.
+    pub fields: Vec<once::Field>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Time that the caller still waits, in microseconds.
+    pub left_micros: u64,
+}
+
+/// What a home says of a request.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Reply {
+    /// The target's whole answer.
+    Answer(once::Answer),
+    /// The request has no answer.
+    Refusal {
+        /// Why.
+        kind: kind::ErrorKind,
+        /// Whether the request may have run.
+        outcome: kind::Outcome,
+        /// When trying again can help, in microseconds.
+        after_micros: Option<u64>,
+    },
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod header;
+pub mod home;
 pub mod http;
 pub mod platform;
 pub mod problem;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,6 +15,7 @@
 
 const ENTRY_PORT: u16 = 8000;
 const CONTROL_PORT: u16 = 8001;
+const HOME_PORT: u16 = 8005;
 const LOOKUP_PORT: u16 = 8002;
 const STEER_PORT: u16 = 8003;
 const LOOKUP_CONTROL_PORT: u16 = 8004;
@@ -160,8 +161,8 @@
         let ip = self.network.ip(FIRST_HOST + index);
         let common = format!("host: {name}\nzone: {zone}\n");
         let entry = format!(
-            "{common}listen: {ip}:{ENTRY_PORT}\ncontrol: {ip}:{CONTROL_PORT}\nadmin: {ip}:{ADMIN_PORT}\n\
-             platform: {}\n",
+            "{common}listen: {ip}:{ENTRY_PORT}\ncontrol: {ip}:{CONTROL_PORT}\nhome: {ip}:{HOME_PORT}\n\
+             admin: {ip}:{ADMIN_PORT}\nplatform: {}\n",
             self.platform
         );
         let lookup = format!(
@@ -170,6 +171,7 @@
         );
         let steer = format!(
             "{common}ports: {{entry: '{ip}:{ENTRY_PORT}', control: '{ip}:{CONTROL_PORT}', \
+             home: '{ip}:{HOME_PORT}', \
              lookup: '{ip}:{LOOKUP_PORT}', steer: '{ip}:{STEER_PORT}'}}\n\
              lookup_control: {ip}:{LOOKUP_CONTROL_PORT}\nadmin: {ip}:{}\nplatform: {}\n\
              poll: 200ms\nheartbeat: 400ms\n",
