Vouch for the newest version by quorum; leases that outlive a store outage

Cause: a host cannot tell a store that is down from its own separation, so a withdrawn key may live on where no news arrives, and refusing whenever the store is silent stops all keyed routes in every store outage.

Change: core modules config (versions, evidence of freshness, fate of a write), member (roster of one member a zone, read and write quorums within a generation, sealing of earlier rosters) and lease (one holder, extension by a read quorum that claimants bar first).

Ruled out: timed promises of all members (one dead member closes all keyed routes in a store outage, and a write has to wait the promises out); a member striking itself out in the write that it may not hear of.

The model found three faults on the way, each with a test now: evidence from before a life began, a late answer taken for a later write's, and a claimant that took its own lost store for the holder's silence.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease/tenure.rs
@@ -1,4 +1,4 @@
-//! What a holder of a lease knows of its own tenure.
+//! The time for which a holder of a lease may act.
 
 use crate::instant;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,12 @@
 //! value that can be compared, so that any decision can be run again.
 
 pub mod catalog;
+pub mod config;
 pub mod error;
 pub mod instant;
 pub mod kind;
 pub mod lease;
+pub mod member;
 pub mod name;
 pub mod record;
 pub mod secret;
--- /dev/null
+++ b/crates/core/src/member/past.rs
@@ -0,0 +1,30 @@
+//! An earlier roster whose members may still vouch for each other.
+
+use super::Member;
+
+/// An earlier roster whose members may still vouch for each other.
+///
+/// It is sealed once so many members have left it for good that the others
+/// can no longer form a read quorum.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Past {
+    /// Generation of the earlier roster.
+    pub generation: u64,
+    /// Members that the earlier roster had.
+    pub size: usize,
+    /// Members that may still vouch in it.
+    pub open: Vec<Member>,
+}
+
+impl Past {
+    /// Returns whether the members left can form no read quorum.
+    #[must_use]
+    pub fn is_sealed(&self) -> bool {
+        self.size - self.open.len() > super::tolerance(self.size)
+    }
+
+    /// Strikes out the members that vouch in this roster no more.
+    pub fn close(&mut self, has_left: impl Fn(&Member) -> bool) {
+        self.open.retain(|member| !has_left(member));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/lease_seat.rs
@@ -0,0 +1,161 @@
+//! Lost answers, late answers and returns of a lease.
+
+use std::time;
+
+use skylark_core::instant;
+use skylark_core::lease;
+use skylark_core::member;
+use skylark_core::name;
+
+const LENGTH: time::Duration = time::Duration::from_secs(4);
+
+fn life(name: &str) -> name::Incarnation {
+    name::Incarnation::new(name).expect("a good name")
+}
+
+fn seat(name: &str) -> lease::Seat {
+    lease::Seat::new(life(name), lease::Terms { length: LENGTH })
+}
+
+fn at(millis: u64) -> instant::Instant {
+    instant::Instant::from_millis(millis)
+}
+
+fn take(seat: &mut lease::Seat, now: instant::Instant) -> (u64, lease::Row) {
+    match seat.decide(&member::Roster::default(), now) {
+        lease::Action::Write { version, row } => {
+            seat.send(version, row.clone(), now);
+            (version, row)
+        }
+        other => panic!("expected a write, not {other:?}"),
+    }
+}
+
+#[test]
+fn a_tenure_counts_from_before_the_write_was_sent() {
+    let mut seat = seat("a");
+    seat.read(lease::Seen::default(), at(0), at(0));
+    take(&mut seat, at(1_000));
+    seat.written(0);
+    assert!(seat.tenure().is_held(at(4_990)));
+    assert!(!seat.tenure().is_held(at(5_000)));
+}
+
+#[test]
+fn a_lost_answer_is_read_back_and_counts_from_the_first_sending() {
+    let mut seat = seat("a");
+    seat.read(lease::Seen::default(), at(0), at(0));
+    let (version, row) = take(&mut seat, at(1_000));
+    let again = seat.decide(&member::Roster::default(), at(2_000));
+    assert_eq!(
+        again,
+        lease::Action::Write {
+            version,
+            row: row.clone()
+        }
+    );
+    seat.send(version, row.clone(), at(2_000));
+    let seen = lease::Seen {
+        version: version + 1,
+        row: Some(row),
+    };
+    seat.read(seen, at(3_000), at(3_000));
+    assert_eq!(seat.tenure().epoch, 1);
+    assert!(seat.tenure().is_held(at(4_990)));
+    assert!(!seat.tenure().is_held(at(5_000)));
+}
+
+#[test]
+fn a_write_that_another_came_before_gives_no_tenure() {
+    let mut seat = seat("a");
+    seat.read(lease::Seen::default(), at(0), at(0));
+    let (version, row) = take(&mut seat, at(1_000));
+    let other = lease::Row {
+        holder: Some(life("b")),
+        ..row
+    };
+    seat.read(
+        lease::Seen {
+            version: version + 1,
+            row: Some(other),
+        },
+        at(1_100),
+        at(1_100),
+    );
+    assert!(!seat.tenure().is_held(at(1_100)));
+    assert_eq!(
+        seat.decide(&member::Roster::default(), at(1_200)),
+        lease::Action::Wait
+    );
+}
+
+#[test]
+fn a_lease_that_was_given_back_is_taken_at_once_with_a_higher_epoch() {
+    let mut seat = seat("a");
+    let row = lease::Row {
+        epoch: 7,
+        holder: None,
+        generation: 0,
+    };
+    seat.read(
+        lease::Seen {
+            version: 9,
+            row: Some(row),
+        },
+        at(0),
+        at(0),
+    );
+    let (version, row) = take(&mut seat, at(1));
+    assert_eq!((version, row.epoch), (9, 8));
+}
+
+#[test]
+fn a_bar_holds_until_the_holder_writes_again() {
+    let mut bars = lease::Bars::new();
+    assert!(bars.is_open("lease", 3));
+    bars.bar("lease", 3);
+    bars.bar("lease", 2);
+    assert!(!bars.is_open("lease", 3));
+    assert!(bars.is_open("lease", 4));
+    assert!(bars.is_open("other", 3));
+}
+
+#[test]
+fn a_late_answer_to_an_earlier_write_confirms_nothing() {
+    let mut seat = seat("a");
+    seat.read(lease::Seen::default(), at(0), at(0));
+    let (first, row) = take(&mut seat, at(1_000));
+    let seen = lease::Seen {
+        version: first + 1,
+        row: Some(row),
+    };
+    seat.read(seen, at(1_100), at(1_100));
+    let (second, _row) = take(&mut seat, at(3_000));
+    seat.written(first);
+    assert!(
+        !seat.tenure().is_held(at(5_000)),
+        "version {second} is not confirmed"
+    );
+    seat.written(second);
+    assert!(seat.tenure().is_held(at(5_000)));
+}
+
+#[test]
+fn a_claimant_asks_for_bars_only_when_it_read_the_row_again() {
+    let mut seat = seat("b");
+    let row = lease::Row {
+        epoch: 1,
+        holder: Some(life("a")),
+        generation: 0,
+    };
+    let seen = lease::Seen {
+        version: 5,
+        row: Some(row),
+    };
+    let roster = member::Roster::default();
+    seat.read(seen.clone(), at(0), at(100));
+    seat.read(seen.clone(), at(200), at(9_000));
+    assert_eq!(seat.decide(&roster, at(9_000)), lease::Action::Wait);
+    seat.read(seen, at(2_100), at(2_200));
+    assert_eq!(seat.decide(&roster, at(9_000)), lease::Action::Bar(5));
+}
