--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod catalog;
 pub mod config;
+pub mod decision;
 pub mod error;
 pub mod instant;
 pub mod kind;
@@ -13,5 +14,6 @@
 pub mod name;
 pub mod record;
 pub mod secret;
+pub mod steer;
 pub mod timestamp;
 pub mod unit;
