--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod block;
 pub mod budget;
 pub mod catalog;
+pub mod config;
 pub mod decision;
 pub mod error;
 pub mod instant;
 pub mod kind;
 pub mod lease;
+pub mod member;
 pub mod name;
 pub mod once;
 pub mod quarantine;
