Add the load view, the queue, retries, shifts and drains of steering

The queue is fair between accounts, earliest deadline first within, has a line of its own for batch work, and refuses at once what cannot be answered in time by its own estimate. The estimate first rounded down; the test found requests admitted that then missed their deadline, so it rounds up now.

--- a/crates/core/src/steer/admission.rs
+++ b/crates/core/src/steer/admission.rs
@@ -59,7 +59,7 @@
     #[must_use]
     pub fn estimate(&self) -> u64 {
         let turns = u64::from(self.ahead) + 1;
-        let wait = turns * u64::from(self.service) / u64::from(self.width.max(1));
+        let wait = (turns * u64::from(self.service)).div_ceil(u64::from(self.width.max(1)));
         wait + u64::from(self.answer)
     }
 }
--- a/crates/core/src/steer/candidate.rs
+++ b/crates/core/src/steer/candidate.rs
@@ -5,6 +5,9 @@
 
 const FAULT_WEIGHT: u64 = 8;
 
+/// Refusals for want of room below which a report of a full target is doubted, in basis points.
+const QUIET_SHEDS: u32 = 100;
+
 /// One drawn target, with what the host knew of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Candidate {
@@ -30,6 +33,8 @@
     pub sheds: u32,
     /// Part of its slots that the target is trusted with, in basis points.
     pub warmth: u32,
+    /// Whether the target answers far slower than the service's others.
+    pub is_slow: bool,
     /// Whether the request was sent to this target before.
     pub is_tried: bool,
 }
@@ -56,9 +61,14 @@
     }
 
     /// Returns the slots that are believed to be free.
+    ///
+    /// One request is always tried where the host has none and met no refusal
+    /// lately, so that targets which wrongly report to be full stay in use.
     #[must_use]
     pub fn room(&self) -> u32 {
-        self.width().saturating_sub(self.load())
+        let is_doubted = self.own == 0 && self.sheds < QUIET_SHEDS;
+        let room = self.width().saturating_sub(self.load());
+        room.max(u32::from(is_doubted))
     }
 
     /// Returns what one more request costs here; only comparison has a meaning.
--- a/crates/core/src/steer/choice.rs
+++ b/crates/core/src/steer/choice.rs
@@ -57,10 +57,16 @@
     }
 
     /// Chooses a target from the tiers, the nearest with room first.
+    ///
+    /// Slow targets are taken only where no other has room.
     #[must_use]
     pub fn choose(&self) -> Choice {
-        let picked = self.tiers.iter().find_map(|tier| tier.pick(self.remaining));
-        if let Some(known) = picked {
+        let pick = |pace| {
+            self.tiers
+                .iter()
+                .find_map(|tier| tier.pick(self.remaining, pace))
+        };
+        if let Some(known) = pick(tier::Pace::Usual).or_else(|| pick(tier::Pace::Any)) {
             return Choice::Target(known.index);
         }
         if self.tiers.iter().all(|tier| tier.usable == 0) {
--- /dev/null
+++ b/crates/core/src/steer/drain.rs
@@ -0,0 +1,81 @@
+//! Whether a target is leaving, from three sources of word.
+
+use std::time;
+
+use crate::instant;
+
+/// State of a host in the platform's list of hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// The list shows the host as live.
+    Live,
+    /// The list shows the host as leaving.
+    Leaving,
+    /// The list does not show the host.
+    Absent,
+}
+
+/// What is known of a target's leaving.
+///
+/// The target's own word outlasts a list that lags: it is withdrawn only when
+/// health answers without the word have come for a while, or when the list
+/// showed the host leaving and shows it live again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Drain {
+    by_record: bool,
+    by_list: bool,
+    word: Option<instant::Instant>,
+    denial: Option<instant::Instant>,
+}
+
+impl Drain {
+    /// Time for which health answers must deny a target's word before it counts no more.
+    pub const DENIAL: time::Duration = time::Duration::from_secs(5);
+
+    /// Returns whether the target gets no new work.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.by_record || self.by_list || self.word.is_some()
+    }
+
+    /// Returns whether the target said so itself, so that its health is worth asking.
+    #[must_use]
+    pub fn is_by_word(&self) -> bool {
+        self.word.is_some()
+    }
+
+    /// Takes the records' statement.
+    pub fn set_record(&mut self, is_drained: bool) {
+        self.by_record = is_drained;
+    }
+
+    /// Takes the state of the target's host in the platform's list.
+    ///
+    /// A host that the list never showed is taken as live.
+    pub fn set_list(&mut self, listed: Listed) {
+        let was_leaving = self.by_list;
+        self.by_list = listed == Listed::Leaving;
+        if was_leaving && listed == Listed::Live {
+            self.word = None;
+        }
+    }
+
+    /// Takes the target's word on an answer that it is leaving.
+    pub fn hear(&mut self, now: instant::Instant) {
+        self.word = Some(now);
+        self.denial = None;
+    }
+
+    /// Takes a health answer; `is_leaving` is whether it held the word.
+    pub fn hear_health(&mut self, is_leaving: bool, now: instant::Instant) {
+        if is_leaving {
+            self.hear(now);
+            return;
+        }
+        let since = *self.denial.get_or_insert(now);
+        if now.since(since) >= Self::DENIAL {
+            self.word = None;
+            self.denial = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/steer/known.rs
@@ -0,0 +1,186 @@
+//! What an entry host has seen of one target.
+
+use std::time;
+
+use crate::instant;
+use crate::name;
+
+use super::candidate;
+use super::decay;
+use super::drain;
+use super::end;
+use super::mean;
+use super::outlier;
+
+const COLD_WARMTH: u32 = 2_500;
+const WARM_UP: time::Duration = time::Duration::from_secs(10);
+const IDLE: time::Duration = time::Duration::from_mins(2);
+const SLOW_FACTOR: u32 = 3;
+const FORGET: time::Duration = time::Duration::from_secs(5);
+
+/// One target and what this host's own exchanges with it showed.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// Name of the target.
+    pub name: name::Target,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// What is known of its leaving.
+    pub drain: drain::Drain,
+    /// What its failures say.
+    pub outlier: outlier::Outlier,
+    own: u32,
+    others: u32,
+    reported: Option<instant::Instant>,
+    service: mean::Mean,
+    answered: instant::Instant,
+    faults: decay::Decay,
+    sheds: decay::Decay,
+    cold: Option<instant::Instant>,
+    used: instant::Instant,
+}
+
+impl Known {
+    /// Creates a target that nothing is known of and that is taken as warm.
+    #[must_use]
+    pub fn new(name: name::Target, slots: u32, now: instant::Instant) -> Self {
+        Self {
+            name,
+            slots,
+            drain: drain::Drain::default(),
+            outlier: outlier::Outlier::default(),
+            own: 0,
+            others: 0,
+            reported: None,
+            service: mean::Mean::default(),
+            answered: now,
+            faults: decay::Decay::default(),
+            sheds: decay::Decay::default(),
+            cold: None,
+            used: now,
+        }
+    }
+
+    /// Returns the target as one that has to warm up first.
+    #[must_use]
+    pub fn with_cold(mut self, now: instant::Instant) -> Self {
+        self.cold = Some(now);
+        self
+    }
+
+    /// Marks a target that comes back as one that has to warm up first.
+    pub fn chill(&mut self, now: instant::Instant) {
+        self.cold = Some(now);
+        self.service.clear();
+    }
+
+    /// Returns the requests of this host that are on the target.
+    #[must_use]
+    pub const fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Counts a request that is sent to the target.
+    pub fn start(&mut self, now: instant::Instant) {
+        if now.since(self.used) > IDLE {
+            self.cold = Some(now);
+        }
+        self.used = now;
+        self.own += 1;
+    }
+
+    /// Counts the end of an exchange; returns whether the target is to be ejected.
+    pub fn end(&mut self, end: end::End, word: end::Word, now: instant::Instant) -> bool {
+        self.own = self.own.saturating_sub(1);
+        self.used = now;
+        if let Some(running) = word.running {
+            self.others = running.saturating_sub(self.own);
+            self.reported = Some(now);
+        }
+        if word.is_leaving {
+            self.drain.hear(now);
+        }
+        match end {
+            end::End::Answered(time) => {
+                self.time(time, now);
+                self.faults.miss(now);
+                self.sheds.miss(now);
+                self.outlier.succeed();
+                false
+            }
+            end::End::Shed => {
+                self.sheds.hit(now);
+                self.outlier.succeed();
+                false
+            }
+            end::End::Failed => {
+                self.faults.hit(now);
+                self.outlier.fail(now)
+            }
+            end::End::Expired(time) => {
+                self.time(time, now);
+                self.faults.hit(now);
+                self.outlier.fail(now)
+            }
+            end::End::Cancelled => false,
+        }
+    }
+
+    /// Returns what a choice is told of the target.
+    ///
+    /// `usual` is the time in which the service's targets answer, in microseconds.
+    #[must_use]
+    pub fn candidate(&self, usual: u32, now: instant::Instant) -> candidate::Candidate {
+        let age = self
+            .reported
+            .map_or(candidate::REPORT_HORIZON, |at| micros(now.since(at)));
+        let service = self.service(usual, now);
+        candidate::Candidate {
+            index: 0,
+            position: 0,
+            slots: self.slots,
+            own: self.own,
+            others: self.others,
+            age: age.min(candidate::REPORT_HORIZON),
+            service,
+            faults: self.faults.level(now),
+            sheds: self.sheds.level(now),
+            warmth: self.warmth(now),
+            is_slow: service / SLOW_FACTOR > usual,
+            is_tried: false,
+        }
+    }
+
+    /// Returns the time to answer; what was seen long ago is forgotten.
+    ///
+    /// While a request is out to learn the time anew, the old one counts.
+    fn service(&self, usual: u32, now: instant::Instant) -> u32 {
+        if now.since(self.answered) > FORGET && self.own == 0 {
+            return usual;
+        }
+        self.service.get(usual)
+    }
+
+    fn time(&mut self, time: u64, now: instant::Instant) {
+        if now.since(self.answered) > FORGET {
+            self.service.clear();
+        }
+        self.service.add(time);
+        self.answered = now;
+    }
+
+    fn warmth(&self, now: instant::Instant) -> u32 {
+        let Some(since) = self.cold else {
+            return super::WHOLE;
+        };
+        let passed = u64::from(micros(now.since(since)));
+        let all = u64::from(micros(WARM_UP));
+        let rest = u64::from(super::WHOLE - COLD_WARMTH);
+        let gained = rest * passed.min(all) / all;
+        COLD_WARMTH + u32::try_from(gained).unwrap_or(0)
+    }
+}
+
+fn micros(span: time::Duration) -> u32 {
+    u32::try_from(span.as_micros()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/steer/pool.rs
@@ -0,0 +1,243 @@
+//! What an entry host knows of one service's targets.
+
+use std::time;
+
+use crate::catalog;
+use crate::instant;
+use crate::name;
+use crate::record;
+
+use super::ask;
+use super::choice;
+use super::end;
+use super::known;
+use super::mean;
+use super::place;
+use super::tier;
+
+const FIRST_SERVICE: u32 = 10_000;
+const SWEEP: time::Duration = time::Duration::from_millis(100);
+const EJECTED_PART: usize = 2;
+
+/// The targets of one service, as one entry host sees them.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    known: Vec<known::Known>,
+    out: Vec<bool>,
+    places: Vec<place::Place>,
+    usual: mean::Mean,
+    swept: Option<instant::Instant>,
+    own: u32,
+}
+
+impl Pool {
+    /// Creates the pool of a service, keeping what an earlier pool knew.
+    ///
+    /// Targets that an earlier pool did not know have to warm up.
+    #[must_use]
+    pub fn new(
+        catalog: &catalog::Catalog,
+        service: &name::Service,
+        zone: &name::Zone,
+        earlier: Option<&Self>,
+        now: instant::Instant,
+    ) -> Self {
+        let targets: Vec<&record::Target> = catalog
+            .targets
+            .values()
+            .filter(|target| target.service == *service)
+            .collect();
+        let recall = |target: &record::Target| {
+            let old = earlier.and_then(|pool| pool.find(&target.name));
+            let fresh = || known::Known::new(target.name.clone(), target.slots, now);
+            let mut known = match (old, earlier) {
+                (Some(old), _) => old.clone(),
+                (None, Some(_)) => fresh().with_cold(now),
+                (None, None) => fresh(),
+            };
+            known.slots = target.slots;
+            known.drain.set_record(catalog.is_drained(target));
+            known
+        };
+        let known: Vec<known::Known> = targets.iter().map(|target| recall(target)).collect();
+        let out = known.iter().map(|known| is_out(known, now)).collect();
+        Self {
+            own: known.iter().map(known::Known::own).sum(),
+            out,
+            known,
+            places: place::Place::group(catalog, zone, &targets),
+            usual: earlier.map_or_else(mean::Mean::default, |pool| pool.usual),
+            swept: None,
+        }
+    }
+
+    /// Returns the targets, in the order that candidates index.
+    #[must_use]
+    pub fn targets(&self) -> &[known::Known] {
+        &self.known
+    }
+
+    /// Returns the index of a target.
+    #[must_use]
+    pub fn index(&self, target: &name::Target) -> Option<u32> {
+        let found = self.known.binary_search_by(|known| known.name.cmp(target));
+        found.ok().and_then(|index| u32::try_from(index).ok())
+    }
+
+    /// Returns this host's requests that are on the service's targets.
+    #[must_use]
+    pub const fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Returns the time in which the service's targets answer, in microseconds.
+    #[must_use]
+    pub fn usual(&self) -> u32 {
+        self.usual.get(FIRST_SERVICE)
+    }
+
+    /// Chooses a target, and returns what the choice depended on.
+    ///
+    /// `allows` states whether the budgets of the way to a region, and of its
+    /// slots, allow one more request; it is asked of other regions only.
+    pub fn choose(
+        &mut self,
+        ask: &ask::Ask<'_>,
+        allows: impl Fn(&name::Region) -> bool,
+        now: instant::Instant,
+    ) -> (choice::Inputs, choice::Choice) {
+        self.sweep(now);
+        let shift = ask.shift.map(|shift| shift.shifting);
+        let mut inputs =
+            choice::Inputs::new(ask.seed, ask.attempt, ask.remaining).with_shift(shift);
+        let moved = ask
+            .shift
+            .filter(|shift| shift.shifting.moves(ask.seed))
+            .map(|shift| shift.to);
+        let first = self.places.iter().position(|p| Some(&p.region) == moved);
+        let rest = (0..self.places.len()).filter(|number| Some(*number) != first);
+        for number in first.into_iter().chain(rest).take(choice::MAX_TIERS) {
+            let mut tier = self.tier(number, ask, now);
+            if first == Some(number) {
+                tier.nearness = tier::Nearness::Shift;
+            }
+            if tier.nearness == tier::Nearness::Pair || tier.nearness == tier::Nearness::Shift {
+                tier.is_allowed = allows(&self.places[number].region);
+            }
+            let is_found = tier.pick(ask.remaining, tier::Pace::Usual).is_some();
+            inputs.tiers.push(tier);
+            if is_found {
+                break;
+            }
+        }
+        let choice = inputs.choose();
+        (inputs, choice)
+    }
+
+    /// Counts a request that is sent to a target.
+    pub fn start(&mut self, index: u32, now: instant::Instant) {
+        if let Some(known) = self.known.get_mut(index as usize) {
+            known.start(now);
+            self.own += 1;
+        }
+    }
+
+    /// Counts the end of an exchange with a target.
+    pub fn end(&mut self, index: u32, end: end::End, word: end::Word, now: instant::Instant) {
+        let way = 2 * self.delay(index);
+        let end = match end {
+            end::End::Answered(time) => end::End::Answered(time.saturating_sub(way)),
+            end::End::Expired(time) => end::End::Expired(time.saturating_sub(way)),
+            other => other,
+        };
+        let Some(known) = self.known.get_mut(index as usize) else {
+            return;
+        };
+        if let end::End::Answered(time) = end {
+            self.usual.add(time);
+        }
+        self.own = self.own.saturating_sub(1);
+        let is_failing = known.end(end, word, now);
+        if word.is_leaving {
+            self.swept = None;
+        }
+        if is_failing && self.may_eject(now) {
+            self.known[index as usize].outlier.eject(now);
+            self.swept = None;
+        }
+    }
+
+    /// Changes what is known of a target's leaving.
+    pub fn drain(&mut self, index: u32, change: impl FnOnce(&mut super::Drain)) {
+        if let Some(known) = self.known.get_mut(index as usize) {
+            change(&mut known.drain);
+            self.swept = None;
+        }
+    }
+
+    fn find(&self, target: &name::Target) -> Option<&known::Known> {
+        self.index(target).map(|index| &self.known[index as usize])
+    }
+
+    /// Returns whether less than half of the targets that stay are ejected.
+    fn may_eject(&self, now: instant::Instant) -> bool {
+        let staying = || self.known.iter().filter(|k| !k.drain.is_draining());
+        let ejected = staying().filter(|k| k.outlier.is_ejected(now)).count();
+        (ejected + 1) * EJECTED_PART <= staying().count()
+    }
+
+    fn delay(&self, index: u32) -> u64 {
+        let place = self.places.iter().find(|p| p.members.contains(&index));
+        place.map_or(0, |place| u64::from(place.delay))
+    }
+
+    fn tier(&self, number: usize, ask: &ask::Ask<'_>, now: instant::Instant) -> tier::Tier {
+        let place = &self.places[number];
+        let number = u8::try_from(number).unwrap_or(u8::MAX);
+        let usable = u32::try_from(place.usable.len()).unwrap_or(u32::MAX);
+        let usual = self.usual();
+        let mut tier = tier::Tier {
+            nearness: place.nearness,
+            number,
+            delay: place.delay,
+            usable,
+            is_allowed: true,
+            ..tier::Tier::default()
+        };
+        for position in ask.seed.positions(ask.attempt, number, usable) {
+            let index = place.usable[position as usize];
+            let mut candidate = self.known[index as usize].candidate(usual, now);
+            candidate.index = index;
+            candidate.position = position;
+            candidate.is_tried = ask.tried.contains(&index);
+            tier.drawn.push(candidate);
+        }
+        tier
+    }
+
+    /// Brings the lists of usable targets up to date.
+    fn sweep(&mut self, now: instant::Instant) {
+        if self.swept.is_some_and(|at| now.since(at) < SWEEP) {
+            return;
+        }
+        self.swept = Some(now);
+        for (known, out) in self.known.iter_mut().zip(&mut self.out) {
+            let was_out = *out;
+            *out = is_out(known, now);
+            if was_out && !*out {
+                known.chill(now);
+            }
+        }
+        for place in &mut self.places {
+            let members = place.members.iter().copied();
+            place.usable.clear();
+            place
+                .usable
+                .extend(members.filter(|index| !self.out[*index as usize]));
+        }
+    }
+}
+
+fn is_out(known: &known::Known, now: instant::Instant) -> bool {
+    known.drain.is_draining() || known.outlier.is_ejected(now)
+}
--- a/crates/core/src/steer/tier.rs
+++ b/crates/core/src/steer/tier.rs
@@ -35,6 +35,15 @@
     Pair,
 }
 
+/// Which targets a pass over the tiers takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pace {
+    /// Those that answer about as fast as the service's others.
+    Usual,
+    /// Slow ones too.
+    Any,
+}
+
 /// A tier and the targets that were drawn from it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Tier {
@@ -60,12 +69,13 @@
     /// two choices in randomized load balancing", 2001). As slots are few, a
     /// second pair is looked at when both are full.
     #[must_use]
-    pub fn pick(&self, remaining: u32) -> Option<&candidate::Candidate> {
+    pub fn pick(&self, remaining: u32, pace: Pace) -> Option<&candidate::Candidate> {
         if !self.is_allowed {
             return None;
         }
         self.drawn.chunks(COMPARED).find_map(|pair| {
             pair.iter()
+                .filter(|known| pace == Pace::Any || !known.is_slow)
                 .filter(|known| !known.is_tried && known.room() > 0)
                 .filter(|known| self.reach(known) <= u64::from(remaining))
                 .min_by_key(|known| known.cost())
--- a/crates/core/tests/decision.rs
+++ b/crates/core/tests/decision.rs
@@ -68,6 +68,7 @@
             faults: u.int_in_range(0..=10_000)?,
             sheds: u.int_in_range(0..=10_000)?,
             warmth: u.int_in_range(1_000..=10_000)?,
+            is_slow: u.arbitrary()?,
             is_tried: false,
         });
     }
--- /dev/null
+++ b/crates/core/tests/steer_queue.rs
@@ -0,0 +1,230 @@
+//! The queue stays within its bound, is fair, meets deadlines and starves no batch work.
+
+use std::collections;
+use std::time;
+
+use skylark_core::instant;
+use skylark_core::name;
+use skylark_core::steer;
+
+const BATCH_TURNS: usize = 8;
+
+fn account(number: usize) -> Option<name::Account> {
+    name::Account::new(&format!("a{number}")).ok()
+}
+
+fn entrant<T>(number: usize, deadline: Option<u64>, item: T) -> steer::Entrant<T> {
+    steer::Entrant {
+        account: account(number),
+        deadline: deadline.map(instant::Instant::from_micros),
+        item,
+    }
+}
+
+fn speed(width: u32, service: u32) -> steer::Speed {
+    steer::Speed {
+        width,
+        service,
+        answer: service,
+    }
+}
+
+const EASY: steer::Speed = steer::Speed {
+    width: 1_000,
+    service: 1,
+    answer: 1,
+};
+
+#[test]
+fn the_bound_holds_and_no_request_is_lost_or_doubled() {
+    arbtest::arbtest(|u| {
+        let bound: u32 = u.int_in_range(0..=6)?;
+        let mut queue = steer::Queue::new(bound);
+        let mut inside = collections::BTreeSet::new();
+        for item in 0..u.int_in_range(1..=60)? {
+            let now = instant::Instant::from_micros(item);
+            if u.ratio(2, 3)? {
+                let deadline = u.ratio(3, 4)?.then_some(u.int_in_range(0..=10_000)?);
+                let asks = entrant(u.int_in_range(0..=3)?, deadline, item);
+                let entered = queue.enter(asks, speed(1, 100), now);
+                inside.insert(item);
+                if let Some(out) = entered.refused {
+                    assert!(inside.remove(&out), "{out} was not inside");
+                }
+            } else if let Some(left) = queue.leave(100, now) {
+                let (steer::Left::Turn(out) | steer::Left::Late(out)) = left;
+                assert!(inside.remove(&out), "{out} was not inside");
+            }
+            assert_eq!(queue.len(), inside.len());
+            assert!(queue.len() <= 2 * bound as usize, "both lines are bounded");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn batch_work_leaves_within_a_bound_under_any_urgent_flood() {
+    arbtest::arbtest(|u| {
+        let mut queue = steer::Queue::new(64);
+        let now = instant::Instant::ORIGIN;
+        let batch: usize = u.int_in_range(1..=6)?;
+        for _ in 0..batch {
+            queue.enter(entrant(9, None, true), EASY, now);
+        }
+        let mut out = 0;
+        for turn in 1..=BATCH_TURNS * batch {
+            for _ in 0..u.int_in_range(1..=4)? {
+                let deadline = Some(u.int_in_range(1_000..=1_000_000)?);
+                queue.enter(entrant(u.int_in_range(0..=3)?, deadline, false), EASY, now);
+            }
+            out += usize::from(queue.leave(0, now) == Some(steer::Left::Turn(true)));
+            assert!(
+                out * BATCH_TURNS + BATCH_TURNS > turn,
+                "{out} out by turn {turn}"
+            );
+        }
+        Ok(())
+    });
+}
+
+/// The request admitted last is answered in time when the host is as fast as it reckons.
+#[test]
+fn an_admitted_request_meets_its_deadline_by_the_estimate() {
+    arbtest::arbtest(|u| {
+        let width: u32 = u.int_in_range(1..=5)?;
+        let service: u32 = u.int_in_range(1..=1_000)?;
+        let mut queue = steer::Queue::new(64);
+        let now = instant::Instant::ORIGIN;
+        let mut last = None;
+        for item in 0..u.int_in_range(1..=40)? {
+            let turns = u64::from(service) * u.int_in_range(1..=40)? / u64::from(width);
+            let deadline = u.ratio(2, 3)?.then_some(u64::from(service) + turns);
+            let asks = entrant(u.int_in_range(0..=1)?, deadline, item);
+            let entered = queue.enter(asks, speed(width, service), now);
+            if let (steer::Ruling::Wait, Some(deadline)) = (entered.ruling, deadline) {
+                assert!(entered.inputs.estimate() <= deadline);
+                last = Some((item, deadline));
+            } else if deadline.is_none() {
+                last = None;
+            }
+        }
+        let Some((item, deadline)) = last else {
+            return Ok(());
+        };
+        let end = served_at(&mut queue, item, width, service);
+        assert!(
+            end.is_some_and(|end| end <= deadline),
+            "{end:?} > {deadline}"
+        );
+        Ok(())
+    });
+}
+
+/// Serves the queue with slots that come free one after another; returns when `item` is answered.
+fn served_at(queue: &mut steer::Queue<u32>, item: u32, width: u32, service: u32) -> Option<u64> {
+    let first = |slot: u32| u64::from(service * (slot + 1) / width);
+    let mut slots: Vec<u64> = (0..width).map(first).collect();
+    loop {
+        let slot = slots.iter_mut().min()?;
+        match queue.leave(service, instant::Instant::from_micros(*slot))? {
+            steer::Left::Turn(turn) => {
+                *slot += u64::from(service);
+                if turn == item {
+                    return Some(*slot);
+                }
+            }
+            steer::Left::Late(late) if late == item => return None,
+            steer::Left::Late(_) => {}
+        }
+    }
+}
+
+#[test]
+fn one_flooding_account_does_not_push_the_others_out() {
+    arbtest::arbtest(|u| {
+        let bound: u32 = u.int_in_range(4..=32)?;
+        let mut queue = steer::Queue::new(bound);
+        let now = instant::Instant::ORIGIN;
+        for _ in 0..u.int_in_range(bound..=4 * bound)? {
+            let deadline = Some(u.int_in_range(1_000..=2_000)?);
+            queue.enter(entrant(0, deadline, 0), EASY, now);
+        }
+        let small: u32 = u.int_in_range(1..=bound / 4)?;
+        for _ in 0..small {
+            let deadline = Some(u.int_in_range(1_000..=1_000_000)?);
+            let entered = queue.enter(entrant(1, deadline, 1), EASY, now);
+            assert_eq!(entered.ruling, steer::Ruling::Wait);
+            assert_ne!(entered.refused, Some(1), "a small account was displaced");
+        }
+        let turns = 2 * small + 4;
+        let out = (0..turns).filter(|_| queue.leave(0, now) == Some(steer::Left::Turn(1)));
+        assert_eq!(
+            out.count(),
+            small as usize,
+            "small account within {turns} turns"
+        );
+        Ok(())
+    });
+}
+
+/// A first-in, first-out queue that refuses nothing, as the naive reference.
+fn naive(arrivals: &[(u64, u64)], width: usize, service: u64) -> usize {
+    let mut slots = vec![0; width];
+    let mut good = 0;
+    for (at, deadline) in arrivals {
+        let Some(slot) = slots.iter_mut().min() else {
+            return 0;
+        };
+        *slot = (*slot).max(*at) + service;
+        good += usize::from(*slot <= *deadline);
+    }
+    good
+}
+
+/// Serves the same arrivals through the queue.
+fn ours(arrivals: &[(u64, u64)], width: u32, service: u32) -> usize {
+    let mut queue = steer::Queue::new(64);
+    let mut slots = vec![0; width as usize];
+    let mut good = 0;
+    let mut arrivals = arrivals.iter().peekable();
+    loop {
+        let Some(slot) = slots.iter_mut().min() else {
+            return good;
+        };
+        if queue.is_empty() {
+            let Some((at, _)) = arrivals.peek() else {
+                return good;
+            };
+            *slot = (*slot).max(*at);
+        }
+        while let Some((at, deadline)) = arrivals.next_if(|(at, _)| at <= slot) {
+            let asks = entrant(0, Some(*deadline), *deadline);
+            queue.enter(
+                asks,
+                speed(width, service),
+                instant::Instant::from_micros(*at),
+            );
+        }
+        if let Some(steer::Left::Turn(deadline)) =
+            queue.leave(service, instant::Instant::from_micros(*slot))
+        {
+            *slot += u64::from(service);
+            good += usize::from(*slot <= deadline);
+        }
+    }
+}
+
+#[test]
+fn at_twice_the_capacity_more_is_answered_in_time_than_by_a_naive_queue() {
+    let service = 1_000;
+    let width = 5;
+    let arrivals: Vec<(u64, u64)> = (0..2_000)
+        .map(|n| (n * 100, n * 100 + 5_000 + (n * 7_919) % 20_000))
+        .collect();
+    let ours = ours(&arrivals, width, service);
+    let naive = naive(&arrivals, width as usize, u64::from(service));
+    let span = time::Duration::from_micros(2_000 * 100);
+    let capacity = span.as_micros() as usize / service as usize * width as usize;
+    assert!(ours * 10 >= capacity * 9, "{ours} of {capacity}");
+    assert!(ours > 2 * naive, "{ours} against {naive}");
+}
