--- a/crates/core/src/steer/choice.rs
+++ b/crates/core/src/steer/choice.rs
@@ -93,6 +93,9 @@
             .iter()
             .any(|tier| tier.nearness == tier::Nearness::Shift);
         let moves = self.shift.is_some_and(|shift| shift.moves(self.seed));
-        is_sorted && has_draws && (moves || !has_shift)
+        let starts_near = self.tiers.first().is_none_or(|tier| {
+            tier.number == 0 || tier.nearness == tier::Nearness::Shift || self.seed.explores()
+        });
+        is_sorted && has_draws && starts_near && (moves || !has_shift)
     }
 }
--- a/crates/core/src/steer/draw.rs
+++ b/crates/core/src/steer/draw.rs
@@ -9,6 +9,8 @@
 
 const CONTEXT: &str = "skylarkmount 2026 draws of a request v1";
 const STREAM_BITS: u32 = 8;
+const EXPLORE_STREAM: u64 = u64::MAX;
+const EXPLORE_BASIS_POINTS: u32 = 100;
 
 /// The seed of every draw made for one request.
 #[derive(
@@ -60,6 +62,12 @@
         self.stream(0).random_range(0..super::WHOLE)
     }
 
+    /// Draws whether the request tries another zone to learn how fast it is.
+    #[must_use]
+    pub fn explores(self) -> bool {
+        self.stream(EXPLORE_STREAM).random_range(0..super::WHOLE) < EXPLORE_BASIS_POINTS
+    }
+
     /// Draws different positions below `count` for a tier of an attempt.
     ///
     /// All positions are returned, in drawn order, where `count` is small.
--- a/crates/core/src/steer/known.rs
+++ b/crates/core/src/steer/known.rs
@@ -128,7 +128,7 @@
 
     /// Returns what a choice is told of the target.
     ///
-    /// `usual` is the time in which the service's targets answer, in microseconds.
+    /// `usual` is the time in which most of the service's targets answer, in microseconds.
     #[must_use]
     pub fn candidate(&self, usual: u32, now: instant::Instant) -> candidate::Candidate {
         let age = self
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Returns the time in which the target answered of late, in microseconds.
+    #[must_use]
+    pub fn pace(&self, now: instant::Instant) -> Option<u32> {
+        let is_recent = now.since(self.answered) <= FORGET;
+        is_recent
+            .then(|| self.service.get(0))
+            .filter(|pace| *pace > 0)
+    }
+
     /// Returns the time to answer; what was seen long ago is forgotten.
     ///
     /// While a request is out to learn the time anew, the old one counts.
--- a/crates/core/src/steer/mean.rs
+++ b/crates/core/src/steer/mean.rs
@@ -10,8 +10,13 @@
     /// Returns the mean, or `otherwise` before the first time.
     #[must_use]
     pub fn get(&self, otherwise: u32) -> u32 {
-        self.0
-            .map_or(otherwise, |mean| u32::try_from(mean).unwrap_or(u32::MAX))
+        self.last().unwrap_or(otherwise)
+    }
+
+    /// Returns the mean, none before the first time.
+    #[must_use]
+    pub fn last(&self) -> Option<u32> {
+        self.0.map(|mean| u32::try_from(mean).unwrap_or(u32::MAX))
     }
 
     /// Adds a time, in microseconds.
--- a/crates/core/src/steer/pool.rs
+++ b/crates/core/src/steer/pool.rs
@@ -25,7 +25,9 @@
     known: Vec<known::Known>,
     out: Vec<bool>,
     places: Vec<place::Place>,
-    usual: mean::Mean,
+    mean: mean::Mean,
+    usual: u32,
+    paces: Vec<u32>,
     swept: Option<instant::Instant>,
     own: u32,
 }
@@ -66,7 +68,9 @@
             out,
             known,
             places: place::Place::group(catalog, zone, &targets),
-            usual: earlier.map_or_else(mean::Mean::default, |pool| pool.usual),
+            mean: earlier.map_or_else(mean::Mean::default, |pool| pool.mean),
+            usual: earlier.map_or(FIRST_SERVICE, |pool| pool.usual),
+            paces: Vec::new(),
             swept: None,
         }
     }
@@ -90,10 +94,10 @@
         self.own
     }
 
-    /// Returns the time in which the service's targets answer, in microseconds.
+    /// Returns the mean time in which the service answers, in microseconds.
     #[must_use]
-    pub fn usual(&self) -> u32 {
-        self.usual.get(FIRST_SERVICE)
+    pub fn mean(&self) -> u32 {
+        self.mean.get(FIRST_SERVICE)
     }
 
     /// Chooses a target, and returns what the choice depended on.
@@ -114,6 +118,11 @@
             .shift
             .filter(|shift| shift.shifting.moves(ask.seed))
             .map(|shift| shift.to);
+        if let Some(tier) = self.explore(ask, now).filter(|_| moved.is_none()) {
+            inputs.tiers.push(tier);
+            let choice = inputs.choose();
+            return (inputs, choice);
+        }
         let first = self.places.iter().position(|p| Some(&p.region) == moved);
         let rest = (0..self.places.len()).filter(|number| Some(*number) != first);
         for number in first.into_iter().chain(rest).take(choice::MAX_TIERS) {
@@ -154,7 +163,7 @@
             return;
         };
         if let end::End::Answered(time) = end {
-            self.usual.add(time);
+            self.mean.add(time);
         }
         self.own = self.own.saturating_sub(1);
         let is_failing = known.end(end, word, now);
@@ -195,7 +204,6 @@
         let place = &self.places[number];
         let number = u8::try_from(number).unwrap_or(u8::MAX);
         let usable = u32::try_from(place.usable.len()).unwrap_or(u32::MAX);
-        let usual = self.usual();
         let mut tier = tier::Tier {
             nearness: place.nearness,
             number,
@@ -206,7 +214,7 @@
         };
         for position in ask.seed.positions(ask.attempt, number, usable) {
             let index = place.usable[position as usize];
-            let mut candidate = self.known[index as usize].candidate(usual, now);
+            let mut candidate = self.known[index as usize].candidate(self.usual, now);
             candidate.index = index;
             candidate.position = position;
             candidate.is_tried = ask.tried.contains(&index);
@@ -215,6 +223,24 @@
         tier
     }
 
+    /// Returns the region's other zones for the few requests that try them.
+    ///
+    /// Without these the host could not tell that its own zone's targets are slow.
+    fn explore(&self, ask: &ask::Ask<'_>, now: instant::Instant) -> Option<tier::Tier> {
+        let is_near = |number: usize, nearness| {
+            self.places
+                .get(number)
+                .is_some_and(|place| place.nearness == nearness)
+        };
+        let has_both = is_near(0, tier::Nearness::Zone) && is_near(1, tier::Nearness::Region);
+        if !has_both || !ask.seed.explores() {
+            return None;
+        }
+        let tier = self.tier(1, ask, now);
+        let is_found = tier.pick(ask.remaining, tier::Pace::Usual).is_some();
+        is_found.then_some(tier)
+    }
+
     /// Brings the lists of usable targets up to date.
     fn sweep(&mut self, now: instant::Instant) {
         if self.swept.is_some_and(|at| now.since(at) < SWEEP) {
@@ -228,6 +254,12 @@
                 known.chill(now);
             }
         }
+        self.paces.clear();
+        self.paces
+            .extend(self.known.iter().filter_map(|known| known.pace(now)));
+        self.paces.sort_unstable();
+        let median = self.paces.len().saturating_sub(1) / 2;
+        self.usual = self.paces.get(median).copied().unwrap_or(self.usual);
         for place in &mut self.places {
             let members = place.members.iter().copied();
             place.usable.clear();
