--- a/crates/core/src/steer/known.rs
+++ b/crates/core/src/steer/known.rs
@@ -17,6 +17,7 @@
 const IDLE: time::Duration = time::Duration::from_mins(2);
 const SLOW_FACTOR: u32 = 3;
 const FORGET: time::Duration = time::Duration::from_secs(5);
+const REMEMBER: time::Duration = time::Duration::from_mins(1);
 
 /// One target and what this host's own exchanges with it showed.
 #[derive(Clone, Debug)]
@@ -154,7 +155,7 @@
     /// Returns the time in which the target answered of late, in microseconds.
     #[must_use]
     pub fn pace(&self, now: instant::Instant) -> Option<u32> {
-        let is_recent = now.since(self.answered) <= FORGET;
+        let is_recent = now.since(self.answered) <= REMEMBER;
         is_recent
             .then(|| self.service.get(0))
             .filter(|pace| *pace > 0)
--- a/crates/core/tests/steer_pool.rs
+++ b/crates/core/tests/steer_pool.rs
@@ -310,7 +310,7 @@
         let mut pool = pool(&catalog(count, None), None, 0);
         let mut slow = 0;
         for number in 0..3_000 {
-            let now = number * 10 * MILLI;
+            let now = number * 100 * MILLI;
             let steer::Choice::Target(index) = choose(&mut pool, number, now) else {
                 continue;
             };
