Answer every mistake in records at once, with file, line and field; read schema 2

A refused field is noted and replaced by the template's, until the document can be read, so one look finds all its faults; lines come from a parser with marks, as serde's place is the mapping's, not the field's. Checks between records report every flaw, not the first.

--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -12,9 +12,10 @@
 ///
 /// Fails when any record is refused, or the change is not accepted.
 pub async fn run(session: &session::Session, flags: &options::Apply) -> error::Result<()> {
-    let documents = files::read(&flags.files)?;
+    let files = files::Files::new(&flags.files)?;
     let store = session.store()?;
     let base = store.snapshot().await?;
+    let documents = files.documents(base.records.values())?;
     let edit = store::Edit {
         put: base.changed(&documents),
         removed: Vec::new(),
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -1,7 +1,6 @@
 //! `skylark check`: checks files of records without a platform.
 
-use skylark_core::catalog;
-use skylark_core::unit;
+use std::iter;
 
 use crate::error;
 use crate::files;
@@ -19,8 +18,7 @@
 ///
 /// Fails when any record is refused.
 pub fn run(session: &session::Session, flags: &options::Check) -> error::Result<()> {
-    let documents = files::read(&flags.files)?;
-    catalog::Catalog::new(unit::Version::NONE, &documents)?;
+    let documents = files::Files::new(&flags.files)?.documents(iter::empty())?;
     let records = documents.len();
     session.say(&Checked { records }, &format!("{records} records are good"))
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,6 +3,8 @@
 use skylark_core::error;
 use skylark_wire::platform;
 
+use super::files;
+
 /// Result of a command.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -22,10 +24,10 @@
         source: std::io::Error,
     },
     /// Records are refused; nothing was written.
-    #[error("{}", .faults.join("\nerror: "))]
+    #[error("{}", list(.faults))]
     Records {
         /// Every fault, each with its place.
-        faults: Vec<String>,
+        faults: Vec<files::Fault>,
     },
     /// A name or quantity is refused; nothing was written.
     #[error("{0}")]
@@ -85,3 +87,9 @@
         }
     }
 }
+
+/// Joins faults to lines; each but the first gets its own `error:`.
+fn list(faults: &[files::Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\nerror: ")
+}
--- a/crates/cli/src/files.rs
+++ b/crates/cli/src/files.rs
@@ -1,42 +1,151 @@
 //! Reading files of records, all faults at once.
 
+use std::fmt;
 use std::fs;
 use std::path;
 
+use skylark_core::catalog;
 use skylark_core::record;
 
 use super::error;
 
-/// Reads the records of all files, or returns the faults of all files.
-///
-/// # Errors
-///
-/// Fails when a file cannot be read or any record is refused.
-pub fn read(files: &[path::PathBuf]) -> error::Result<Vec<record::Document>> {
-    if files.is_empty() {
-        return Err(error::Error::Usage("name at least one file".to_owned()));
+/// A fault with the name of its file.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Fault {
+    /// Name of the file.
+    pub file: String,
+    /// The fault.
+    #[serde(flatten)]
+    pub fault: record::Fault,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let record::Fault {
+            line,
+            field,
+            reason,
+        } = &self.fault;
+        write!(f, "{}:{line}: {field}: {reason}", self.file)
     }
-    let mut documents = Vec::new();
-    let mut faults = Vec::new();
-    for file in files {
-        let text = fs::read_to_string(file).map_err(|source| error::Error::File {
-            file: file.display().to_string(),
-            source,
-        })?;
-        match record::parse(&text) {
-            Ok(found) => documents.extend(found),
-            Err(found) => {
-                faults.extend(
-                    found
-                        .iter()
-                        .map(|fault| format!("{}: {fault}", file.display())),
-                );
+}
+
+/// A record with its place in a file.
+#[derive(Clone, Debug)]
+struct Origin {
+    file: String,
+    source: record::Source,
+}
+
+/// Records of files, each good by itself.
+#[derive(Clone, Debug, Default)]
+pub struct Files {
+    origins: Vec<Origin>,
+    mended: Vec<record::Document>,
+    faults: Vec<Fault>,
+}
+
+impl Files {
+    /// Reads files of records.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file cannot be read; refused records are kept for [`Self::documents`].
+    pub fn new(names: &[path::PathBuf]) -> error::Result<Self> {
+        if names.is_empty() {
+            return Err(error::Error::Usage("name at least one file".to_owned()));
+        }
+        let mut files = Self::default();
+        for name in names {
+            let file = name.display().to_string();
+            match fs::read_to_string(name) {
+                Ok(text) => files.read(&file, &text),
+                Err(source) => return Err(error::Error::File { file, source }),
             }
         }
+        Ok(files)
     }
-    if faults.is_empty() {
-        Ok(documents)
-    } else {
+
+    fn read(&mut self, file: &str, text: &str) {
+        let read = record::read(text);
+        self.origins
+            .extend(read.sources.into_iter().map(|source| Origin {
+                file: file.to_owned(),
+                source,
+            }));
+        self.mended.extend(read.mended);
+        self.faults
+            .extend(read.faults.into_iter().map(|fault| Fault {
+                file: file.to_owned(),
+                fault,
+            }));
+    }
+
+    /// Returns the records, checked together with others that stay as they are.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault of every file when any record is refused.
+    pub fn documents<'a, I>(&self, others: I) -> error::Result<Vec<record::Document>>
+    where
+        I: Iterator<Item = &'a record::Document>,
+    {
+        let documents: Vec<record::Document> = self
+            .origins
+            .iter()
+            .map(|origin| origin.source.document.clone())
+            .collect();
+        let ids: Vec<Option<String>> = documents.iter().map(record::Document::id).collect();
+        let kept = others.filter(|other| !ids.contains(&other.id())).cloned();
+        let good = documents.iter().cloned().chain(kept);
+        let all: Vec<record::Document> = good.chain(self.mended.iter().cloned()).collect();
+        let mut faults = self.faults.clone();
+        let flaws = catalog::flaws(&all);
+        faults.extend(flaws.into_iter().filter_map(|flaw| self.place(flaw)));
+        if faults.is_empty() {
+            return Ok(documents);
+        }
         Err(error::Error::Records { faults })
     }
+
+    /// Finds the place of a flaw, unless it may come from a fault that is reported already.
+    fn place(&self, flaw: record::Flaw) -> Option<Fault> {
+        let is_unsure = self
+            .faults
+            .iter()
+            .any(|known| hides_names(&known.fault.field));
+        if is_unsure && flaw.cause == record::Cause::Dangling {
+            return None;
+        }
+        let mended = self.mended.iter().filter_map(record::Document::id);
+        if mended.into_iter().any(|id| id == flaw.record) {
+            return None;
+        }
+        let mut of_record = self
+            .origins
+            .iter()
+            .filter(|origin| origin.source.document.id().as_deref() == Some(flaw.record.as_str()));
+        let origin = match flaw.cause {
+            record::Cause::Duplicate => of_record.next_back(),
+            _ => of_record.next(),
+        };
+        let (file, line) = match origin {
+            Some(origin) => (origin.file.clone(), origin.source.line(&flaw.field)),
+            None => (format!("record {}", flaw.record), 0),
+        };
+        Some(Fault {
+            file,
+            fault: record::Fault {
+                line,
+                field: flaw.field,
+                reason: flaw.reason,
+            },
+        })
+    }
+}
+
+/// Returns whether a fault of a field hides names that other records may use.
+fn hides_names(field: &str) -> bool {
+    let last = field.rsplit('.').next();
+    last == Some("name") || last == Some("document") || field.starts_with("region.zones")
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -12,6 +12,7 @@
 use std::process;
 
 pub use error::{Error, Result};
+pub use files::Fault;
 
 /// Runs the command that the command line names and returns its exit code.
 #[must_use]
--- a/crates/core/src/catalog/build.rs
+++ b/crates/core/src/catalog/build.rs
@@ -1,4 +1,4 @@
-//! Building the catalog from records, with the checks between records.
+//! Building the catalog from records.
 
 use crate::error;
 use crate::record;
@@ -13,8 +13,14 @@
     ///
     /// # Errors
     ///
-    /// Fails when a record names what no record describes.
+    /// Fails with the first flaw of a record or between records; [`super::flaws`] returns all.
     pub fn new(version: unit::Version, documents: &[record::Document]) -> Result<Self> {
+        if let Some(flaw) = super::flaws(documents).into_iter().next() {
+            return Err(error::Error::Contradiction {
+                record: flaw.record,
+                reason: format!("{}: {}", flaw.field, flaw.reason),
+            });
+        }
         let mut catalog = Self {
             version,
             ..Self::default()
@@ -22,7 +28,6 @@
         for document in documents {
             catalog.insert(document);
         }
-        catalog.check()?;
         Ok(catalog)
     }
 
@@ -60,80 +65,4 @@
         }
         self.regions.insert(region.name.clone(), region.clone());
     }
-
-    fn check(&self) -> Result<()> {
-        for key in self.keys.values() {
-            known(
-                self.accounts.contains_key(&key.account),
-                "key",
-                &key.name,
-                "account",
-                &key.account,
-            )?;
-        }
-        for target in self.targets.values() {
-            let record = target.name.as_str();
-            known(
-                self.services.contains_key(&target.service),
-                "target",
-                record,
-                "service",
-                &target.service,
-            )?;
-            known(
-                self.zones.contains_key(&target.zone),
-                "target",
-                record,
-                "zone",
-                &target.zone,
-            )?;
-        }
-        for link in &self.links {
-            for region in &link.between {
-                known(
-                    self.regions.contains_key(region),
-                    "link",
-                    &link.name,
-                    "region",
-                    region,
-                )?;
-            }
-        }
-        for shift in &self.shifts {
-            known(
-                self.services.contains_key(&shift.service),
-                "shift",
-                &shift.name,
-                "service",
-                &shift.service,
-            )?;
-            for region in [&shift.from, &shift.to] {
-                known(
-                    self.regions.contains_key(region),
-                    "shift",
-                    &shift.name,
-                    "region",
-                    region,
-                )?;
-            }
-        }
-        Ok(())
-    }
-}
-
-fn known(
-    is_known: bool,
-    record: &str,
-    name: &str,
-    kind: &'static str,
-    missing: &dyn std::fmt::Display,
-) -> Result<()> {
-    if is_known {
-        return Ok(());
-    }
-    Err(error::Error::Dangling {
-        record: format!("{record}/{name}"),
-        kind,
-        name: missing.to_string(),
-    })
 }
--- a/crates/core/src/catalog/view.rs
+++ b/crates/core/src/catalog/view.rs
@@ -43,6 +43,15 @@
     pub route: &'a record::Route,
 }
 
+impl Place<'_> {
+    /// Returns whether a request that states no deadline waits for spare room.
+    #[must_use]
+    pub fn is_batch(&self, account: Option<&record::Account>) -> bool {
+        let class = account.map(record::Account::class).unwrap_or_default();
+        self.route.batch || class == record::Class::Batch
+    }
+}
+
 impl Catalog {
     /// Finds the route with the longest path prefix that takes the method.
     #[must_use]
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -22,16 +22,6 @@
         /// A text that would be accepted.
         example: &'static str,
     },
-    /// A record names something that no record describes.
-    #[error("{record} names the {kind} '{name}', which no record describes")]
-    Dangling {
-        /// The record that holds the name.
-        record: String,
-        /// What the name should have named.
-        kind: &'static str,
-        /// The name that was not found.
-        name: String,
-    },
     /// A record contradicts itself or another record.
     #[error("{record}: {reason}")]
     Contradiction {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod name;
 pub mod record;
 pub mod secret;
+pub mod suggest;
 pub mod timestamp;
 pub mod unit;
--- a/crates/core/src/name/mod.rs
+++ b/crates/core/src/name/mod.rs
@@ -25,7 +25,7 @@
 pub type Result<T> = std::result::Result<T, crate::error::Error>;
 
 /// Checks that a text is lower-case letters, digits and inner dashes or dots.
-fn check(kind: &'static str, text: &str) -> Result<()> {
+pub(crate) fn check(kind: &'static str, text: &str) -> Result<()> {
     let is_inner = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
     let edges = [text.bytes().next(), text.bytes().last()];
     let has_good_edges = edges
--- a/crates/core/src/record/account.rs
+++ b/crates/core/src/record/account.rs
@@ -13,4 +13,15 @@
     pub rate: unit::Rate,
     /// Requests above the rate that may come at once, over all entry hosts.
     pub burst: u64,
+    /// How requests are scheduled; schema 1 has no such field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub class: Option<super::Class>,
+}
+
+impl Account {
+    /// Returns how requests are scheduled, interactive where the record is silent.
+    #[must_use]
+    pub fn class(&self) -> super::Class {
+        self.class.unwrap_or_default()
+    }
 }
--- a/crates/core/src/record/document.rs
+++ b/crates/core/src/record/document.rs
@@ -36,14 +36,20 @@
 }
 
 impl Document {
-    /// The newest schema version that this build writes.
-    pub const SCHEMA: u32 = 1;
+    /// The oldest schema version that this build reads.
+    pub const OLDEST: u32 = 1;
+    /// The newest schema version that this build reads.
+    pub const SCHEMA: u32 = 2;
+    /// The kinds of records.
+    pub const KINDS: [&'static str; 9] = [
+        "account", "key", "region", "link", "service", "target", "shift", "drain", "policy",
+    ];
 
-    /// Creates a document of the newest schema that holds no record yet.
+    /// Creates a document that holds no record yet, of the oldest schema, which every build reads.
     #[must_use]
     pub const fn empty() -> Self {
         Self {
-            schema: Self::SCHEMA,
+            schema: Self::OLDEST,
             account: None,
             key: None,
             region: None,
--- a/crates/core/src/record/drain.rs
+++ b/crates/core/src/record/drain.rs
@@ -14,7 +14,7 @@
 
 /// What a drain empties.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[serde(try_from = "Fields", into = "Fields")]
 pub enum Subject {
     /// One target.
     Target(name::Target),
@@ -23,3 +23,48 @@
     /// One entry host.
     Host(name::Host),
 }
+
+/// The subject as it is written: one field, named after what is drained.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Fields {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    target: Option<name::Target>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    zone: Option<name::Zone>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    host: Option<name::Host>,
+}
+
+impl TryFrom<Fields> for Subject {
+    type Error = &'static str;
+
+    fn try_from(fields: Fields) -> Result<Self, Self::Error> {
+        match (fields.target, fields.zone, fields.host) {
+            (Some(target), None, None) => Ok(Self::Target(target)),
+            (None, Some(zone), None) => Ok(Self::Zone(zone)),
+            (None, None, Some(host)) => Ok(Self::Host(host)),
+            _ => Err("names exactly one of target, zone and host"),
+        }
+    }
+}
+
+impl From<Subject> for Fields {
+    fn from(subject: Subject) -> Self {
+        let empty = Self::default();
+        match subject {
+            Subject::Target(target) => Self {
+                target: Some(target),
+                ..empty
+            },
+            Subject::Zone(zone) => Self {
+                zone: Some(zone),
+                ..empty
+            },
+            Subject::Host(host) => Self {
+                host: Some(host),
+                ..empty
+            },
+        }
+    }
+}
--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -1,25 +1,34 @@
-//! Records as operators write them, in schema 1.
+//! Records as operators write them, in schemas 1 and 2.
 
 mod account;
 mod address;
+mod check;
+mod class;
 mod document;
 mod drain;
+mod fault;
 mod head;
 mod key;
 mod link;
 mod objective;
+mod place;
 mod policy;
 mod region;
 mod route;
 mod service;
 mod shift;
+mod survey;
 mod target;
+mod template;
 mod text;
 
 pub use account::Account;
 pub use address::Address;
+pub use check::{Cause, Flaw};
+pub use class::Class;
 pub use document::Document;
 pub use drain::{Drain, Subject};
+pub use fault::Fault;
 pub use head::{Change, Head};
 pub use key::{Key, State};
 pub use link::Link;
@@ -30,4 +39,5 @@
 pub use service::Service;
 pub use shift::Shift;
 pub use target::Target;
-pub use text::{Fault, parse};
+pub use template::template;
+pub use text::{Source, Text, parse, read};
--- a/crates/core/src/record/text.rs
+++ b/crates/core/src/record/text.rs
@@ -1,43 +1,69 @@
 //! Reading records from YAML text.
 
-use std::fmt;
+use super::fault;
+use super::place;
+use super::survey;
 
-/// A fault in a file of records, with its place.
+/// A record with the lines of its fields.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// Line of the file, from 1.
-    pub line: usize,
-    /// Path of the field, such as `account.rate`.
-    pub field: String,
-    /// What is wrong and what is allowed.
-    pub reason: String,
+pub struct Source {
+    /// The record.
+    pub document: super::Document,
+    places: place::Places,
 }
 
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "line {}: {}: {}", self.line, self.field, self.reason)
+impl Source {
+    /// Returns the line of a field, or of the nearest field that holds it.
+    #[must_use]
+    pub fn line(&self, field: &str) -> usize {
+        self.places.line(field)
     }
 }
 
+/// The records and the faults of a text.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Text {
+    /// Records without a fault of their own.
+    pub sources: Vec<Source>,
+    /// Refused records with their faulty fields replaced, for checks of those that name them.
+    pub mended: Vec<super::Document>,
+    /// Faults in order of their lines.
+    pub faults: Vec<fault::Fault>,
+}
+
 /// Reads the records of a YAML text, documents parted by `---`.
 ///
 /// # Errors
 ///
 /// Returns every fault found; the text is accepted whole or not at all.
-pub fn parse(text: &str) -> Result<Vec<super::Document>, Vec<Fault>> {
-    let mut documents = Vec::new();
-    let mut faults = Vec::new();
+pub fn parse(text: &str) -> Result<Vec<super::Document>, Vec<fault::Fault>> {
+    let text = read(text);
+    if text.faults.is_empty() {
+        Ok(text
+            .sources
+            .into_iter()
+            .map(|source| source.document)
+            .collect())
+    } else {
+        Err(text.faults)
+    }
+}
+
+/// Reads the records of a YAML text with the lines of their fields, and every fault.
+#[must_use]
+pub fn read(text: &str) -> Text {
+    let mut read = Text::default();
     for part in parts(text) {
-        match parse_one(&part) {
-            Ok(document) => documents.push(document),
-            Err(fault) => faults.push(fault),
+        match read_part(&part) {
+            Ok(source) => read.sources.push(source),
+            Err(refused) => {
+                read.mended.extend(refused.mended);
+                read.faults.extend(refused.faults);
+            }
         }
     }
-    if faults.is_empty() {
-        Ok(documents)
-    } else {
-        Err(faults)
-    }
+    read.faults.sort();
+    read
 }
 
 /// One document's text and the line before its first.
@@ -71,26 +97,48 @@
     !line.is_empty() && !line.starts_with('#')
 }
 
-fn parse_one(part: &Part) -> Result<super::Document, Fault> {
-    let reader = serde_yaml_ng::Deserializer::from_str(&part.text);
-    let document: super::Document = serde_path_to_error::deserialize(reader).map_err(|error| {
-        let line = error.inner().location().map_or(1, |place| place.line());
-        Fault {
-            line: part.offset + line,
-            field: error.path().to_string(),
-            reason: error.inner().to_string(),
-        }
-    })?;
-    let fault = |field: &str, reason: &str| Fault {
-        line: part.offset + 1,
-        field: field.to_owned(),
-        reason: reason.to_owned(),
-    };
-    if document.schema != super::Document::SCHEMA {
-        return Err(fault("schema", "this build reads schema 1"));
+/// A document that is refused.
+struct Refused {
+    mended: Option<super::Document>,
+    faults: Vec<fault::Fault>,
+}
+
+fn read_part(part: &Part) -> Result<Source, Box<Refused>> {
+    let places = place::Places::new(&part.text, part.offset);
+    let read = serde_yaml_ng::from_str::<super::Document>(&part.text);
+    if let Ok(document) = &read
+        && document.flaws().is_empty()
+    {
+        let document = document.clone();
+        return Ok(Source { document, places });
     }
-    if document.id().is_none() {
-        return Err(fault(".", "a document holds exactly one record"));
+    let value = serde_yaml_ng::from_str(&part.text).map_err(|error| syntax(part, &error))?;
+    let survey = survey::survey(value);
+    match read {
+        Err(error) if survey.findings.is_empty() => return Err(syntax(part, &error)),
+        _ => {}
     }
-    Ok(document)
+    let fault = |finding: survey::Finding| fault::Fault {
+        line: places.line(&finding.field),
+        field: finding.field,
+        reason: finding.reason,
+    };
+    Err(Box::new(Refused {
+        mended: survey.mended,
+        faults: survey.findings.into_iter().map(fault).collect(),
+    }))
+}
+
+/// A text that is no YAML, or names one field twice.
+fn syntax(part: &Part, error: &serde_yaml_ng::Error) -> Box<Refused> {
+    let line = error.location().map_or(1, |place| place.line());
+    let fault = fault::Fault {
+        line: part.offset + line,
+        field: "document".to_owned(),
+        reason: format!("no YAML that can be read: {error}"),
+    };
+    Box::new(Refused {
+        mended: None,
+        faults: vec![fault],
+    })
 }
