--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -17,7 +17,8 @@
 const SIZES: [usize; 4] = [8, 80, 800, 8_000];
 
 /// One measured size.
-#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Serialize)]
 struct Point {
     accounts: usize,
     nanos: u64,
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -7,7 +7,8 @@
 use crate::options;
 use crate::session;
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Checked {
     records: usize,
 }
--- a/crates/cli/src/command/key.rs
+++ b/crates/cli/src/command/key.rs
@@ -12,7 +12,8 @@
 use crate::store;
 
 /// What is printed once when a key is issued.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Issued {
     name: String,
     account: name::Account,
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -30,7 +30,8 @@
 }
 
 /// What a command that writes prints.
-#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Serialize)]
 pub struct Accepted {
     /// The newest version after the command.
     pub version: skylark_core::unit::Version,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -9,7 +9,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A failure that the operator can mend.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The command line lacks something.
--- a/crates/cli/src/files.rs
+++ b/crates/cli/src/files.rs
@@ -10,7 +10,8 @@
 use super::error;
 
 /// A fault with the name of its file.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Fault {
     /// Name of the file.
     pub file: String,
--- a/crates/core/src/block/group.rs
+++ b/crates/core/src/block/group.rs
@@ -1,19 +1,8 @@
 //! A group of clients that is steered as one.
 
 /// Index of a group of clients.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Group(u16);
 
--- a/crates/core/src/block/plan.rs
+++ b/crates/core/src/block/plan.rs
@@ -6,19 +6,8 @@
 pub const SITES_PER_GROUP: usize = 4;
 
 /// Index of a site.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Site(u16);
 
--- a/crates/core/src/budget/amount.rs
+++ b/crates/core/src/budget/amount.rs
@@ -5,19 +5,8 @@
 const MICROS_PER_TOKEN: u64 = 1_000_000;
 
 /// An amount of tokens, in millionths; sums and differences saturate.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Amount(u64);
 
--- a/crates/core/src/budget/key.rs
+++ b/crates/core/src/budget/key.rs
@@ -3,9 +3,8 @@
 use crate::name;
 
 /// What a budget limits.
-#[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Key {
     /// Requests of a client account.
--- a/crates/core/src/budget/message.rs
+++ b/crates/core/src/budget/message.rs
@@ -6,7 +6,8 @@
 /// A holder's report on its budgets and request for tokens.
 ///
 /// By sending it, the holder promises to bank no answer to an earlier ask.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Ask {
     /// Life of the entry process that asks.
     pub holder: name::Incarnation,
@@ -19,7 +20,8 @@
 }
 
 /// A holder's report on one budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// Number that stands for the budget.
     pub budget: u64,
@@ -34,7 +36,8 @@
 }
 
 /// An owner's answer to an ask.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// Epoch of the owner.
     pub epoch: u64,
@@ -47,7 +50,8 @@
 }
 
 /// What an owner grants of one budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Grant {
     /// Number that stands for the budget.
     pub budget: u64,
--- a/crates/core/src/budget/part.rs
+++ b/crates/core/src/budget/part.rs
@@ -4,9 +4,8 @@
 use crate::unit;
 
 /// A rate and a burst: all of a budget, or a part of it.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Part {
     /// Tokens that appear in a second.
     pub rate: amount::Amount,
--- a/crates/core/src/budget/share.rs
+++ b/crates/core/src/budget/share.rs
@@ -13,19 +13,8 @@
 /// A slot's share is fixed when the slot is claimed. Since a share of a budget
 /// rounds down, and grows with the budget, parts that follow different versions
 /// of a record add up to no more than the largest of these versions.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Share(u32);
 
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -11,7 +11,8 @@
 /// The reserve of a deployment: how many slots each availability zone has, and their share.
 ///
 /// The number of zones and slots must not change while any slot is claimed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Plan {
     /// Part of each budget that is kept as fixed shares.
     pub reserve: unit::Percent,
@@ -30,7 +31,8 @@
 }
 
 /// A slot that an entry process has claimed.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Slot {
     /// Availability zone of the slot.
     pub zone: name::Zone,
--- a/crates/core/src/config/proof.rs
+++ b/crates/core/src/config/proof.rs
@@ -14,7 +14,8 @@
 ///
 /// The instant is on the clock of the host that keeps the evidence, and is
 /// taken before the question was sent, so no delay or pause makes it too young.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Proof {
     /// The version that was newest.
     pub version: unit::Version,
--- a/crates/core/src/decision/digest.rs
+++ b/crates/core/src/decision/digest.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 /// A hash over a decision's inputs and outcome.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest([u8; blake3::OUT_LEN]);
 
--- a/crates/core/src/decision/entry.rs
+++ b/crates/core/src/decision/entry.rs
@@ -13,7 +13,8 @@
 ///
 /// A field that a later schema adds is optional and left out when absent, so
 /// that the digest of an older record stays what it was.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Decision {
     /// Schema version of the record.
     pub schema: u32,
--- a/crates/core/src/decision/sent.rs
+++ b/crates/core/src/decision/sent.rs
@@ -1,7 +1,8 @@
 //! How an exchange with a target ended.
 
 /// The end of one exchange with a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Sent {
     /// The whole answer came, with this HTTP status.
--- a/crates/core/src/decision/step.rs
+++ b/crates/core/src/decision/step.rs
@@ -7,7 +7,8 @@
 use super::sent;
 
 /// One step of a decision, in the order taken.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Step {
     /// A check before steering refused the request: key, rate, ledger, quarantine.
--- a/crates/core/src/decision/verdict.rs
+++ b/crates/core/src/decision/verdict.rs
@@ -4,7 +4,8 @@
 use crate::name;
 
 /// The end of a request, as its caller saw it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// A target's answer was handed on.
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -1,7 +1,8 @@
 //! Errors of the pure decisions.
 
 /// A fault in text that came from outside.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// A name has characters or a length that names do not have.
--- a/crates/core/src/instant.rs
+++ b/crates/core/src/instant.rs
@@ -5,19 +5,8 @@
 use std::time;
 
 /// A point of monotonic time, in microseconds since the process's origin.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Instant(u64);
 
--- a/crates/core/src/kind.rs
+++ b/crates/core/src/kind.rs
@@ -3,9 +3,8 @@
 use std::fmt;
 
 /// Whether a refused request may have run.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// The request has not run and never will under its idempotency key.
@@ -15,9 +14,8 @@
 }
 
 /// Whether and when a caller may try again.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Retry {
     /// Trying the same request again cannot help.
@@ -29,9 +27,8 @@
 }
 
 /// Why a request was refused or has no answer of a target.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ErrorKind {
     /// No route serves the method and path.
--- a/crates/core/src/lease/seat.rs
+++ b/crates/core/src/lease/seat.rs
@@ -11,7 +11,8 @@
 use super::Tenure;
 
 /// Content of a lease's row in the table.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Row {
     /// Number that rises with each change of holder.
     pub epoch: u64,
--- a/crates/core/src/lease/tenure.rs
+++ b/crates/core/src/lease/tenure.rs
@@ -6,7 +6,8 @@
 ///
 /// Both fields are the holder's own: `until` is on its monotonic clock and is
 /// reckoned from before the renewal was sent, less the bound on clock drift.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Tenure {
     /// Number that rises with each change of holder.
     pub epoch: u64,
--- a/crates/core/src/member/exchange.rs
+++ b/crates/core/src/member/exchange.rs
@@ -8,7 +8,8 @@
 use super::Roster;
 
 /// A question of one control process to another.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Ask {
     /// The life that asks.
     pub from: name::Incarnation,
@@ -19,7 +20,8 @@
 }
 
 /// The answer to a question.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// The life that answers.
     pub from: name::Incarnation,
@@ -36,7 +38,8 @@
 }
 
 /// Evidence as it is passed to a peer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Evidence {
     /// The version that was newest.
     pub version: unit::Version,
--- a/crates/core/src/member/life.rs
+++ b/crates/core/src/member/life.rs
@@ -4,7 +4,8 @@
 use crate::record;
 
 /// One life of a control process that vouches for its availability zone.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Member {
     /// Name of this life, never used again.
     pub incarnation: name::Incarnation,
--- a/crates/core/src/member/past.rs
+++ b/crates/core/src/member/past.rs
@@ -6,7 +6,8 @@
 ///
 /// It is sealed once so many members have left it for good that the others
 /// can no longer form a read quorum.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Past {
     /// Generation of the earlier roster.
     pub generation: u64,
--- a/crates/core/src/member/roster.rs
+++ b/crates/core/src/member/roster.rs
@@ -21,7 +21,8 @@
 ///
 /// Each change of members makes a new generation. Members vouch for each other
 /// only within one generation.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Roster {
     /// Number that rises with each change of members.
     pub generation: u64,
@@ -34,7 +35,8 @@
 }
 
 /// What one member is known to have in force.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// The member.
     pub incarnation: name::Incarnation,
--- a/crates/core/src/once/answer.rs
+++ b/crates/core/src/once/answer.rs
@@ -3,7 +3,8 @@
 use crate::name;
 
 /// The whole answer of a target.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// Target that answered.
     pub target: name::Target,
@@ -16,7 +17,8 @@
 }
 
 /// One header field of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Field {
     /// Name of the field, in lower case.
     pub name: String,
--- a/crates/core/src/once/attempt.rs
+++ b/crates/core/src/once/attempt.rs
@@ -1,7 +1,8 @@
 //! Whether a request is its caller's first attempt under a key.
 
 /// Whether a request is its caller's first attempt under a key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Attempt {
     /// The caller has sent nothing under this key before.
--- a/crates/core/src/once/claim.rs
+++ b/crates/core/src/once/claim.rs
@@ -3,7 +3,8 @@
 use crate::name;
 
 /// The content of a key's row in the table.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Claim {
     /// Unique id of the write, to read back after a lost answer.
     pub write: String,
--- a/crates/core/src/once/entry.rs
+++ b/crates/core/src/once/entry.rs
@@ -5,7 +5,8 @@
 use crate::kind;
 
 /// What became of one key, in the form in which it is copied to the object store.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// Digest of the key.
     pub id: super::Id,
@@ -16,7 +17,8 @@
 }
 
 /// What became of a request; each is final.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Fate {
     /// The target answered, whole.
--- a/crates/core/src/once/home.rs
+++ b/crates/core/src/once/home.rs
@@ -8,7 +8,8 @@
 ///
 /// The issue time only has to be the same on each resend: the home starts a key
 /// whose issue time its own ledger still remembers, whoever's clock gave it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Home {
     /// The life of an entry process whose ledger decides.
     pub incarnation: name::Incarnation,
--- a/crates/core/src/once/key.rs
+++ b/crates/core/src/once/key.rs
@@ -11,7 +11,8 @@
 /// An idempotency key as its caller sent it.
 ///
 /// `HOME.tISSUED.UNIQUE` names a home; any other text is a key that its caller made up.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Key {
     text: sync::Arc<str>,
@@ -19,9 +20,8 @@
 }
 
 /// Digest of a key, under which ledgers and the table keep it.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Id(u128);
 
--- a/crates/core/src/once/page.rs
+++ b/crates/core/src/once/page.rs
@@ -1,14 +1,16 @@
 //! The copy of a ledger in the object store.
 
 /// What became of some keys of one generation of a home.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Page {
     /// The entries, in no order.
     pub entries: Vec<super::Entry>,
 }
 
 /// The mark of a home that stopped as planned: its copy is whole and nothing starts any more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct End {
     /// Oldest generation that the home still remembered.
     pub floor: u64,
--- a/crates/core/src/once/print.rs
+++ b/crates/core/src/once/print.rs
@@ -6,9 +6,8 @@
 const BYTES: usize = 16;
 
 /// Fingerprint of a request: client account, method, path with query, and body.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Print([u8; BYTES]);
 
--- a/crates/core/src/quarantine/death.rs
+++ b/crates/core/src/quarantine/death.rs
@@ -4,7 +4,8 @@
 use crate::once;
 
 /// A target died in the exchange of a request with this fingerprint.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Death {
     /// Fingerprint of the request.
     pub print: once::Print,
--- a/crates/core/src/quarantine/probe.rs
+++ b/crates/core/src/quarantine/probe.rs
@@ -6,7 +6,8 @@
 use crate::timestamp;
 
 /// The content of a suspect fingerprint's row in the table.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Probe {
     /// Unique id of the write, to read back after a lost answer.
     pub write: String,
--- a/crates/core/src/record/account.rs
+++ b/crates/core/src/record/account.rs
@@ -4,7 +4,8 @@
 use crate::unit;
 
 /// A client account and how much it may send over all entry hosts together.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// Name of the client account.
--- a/crates/core/src/record/check.rs
+++ b/crates/core/src/record/check.rs
@@ -19,7 +19,8 @@
 const MAX_ANSWER_TTL: time::Duration = time::Duration::from_mins(5);
 
 /// A field whose value is not allowed.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Flaw {
     /// Identity of the record, such as `account/boat-club`.
     pub record: String,
@@ -32,7 +33,8 @@
 }
 
 /// Why a value is not allowed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Cause {
     /// The value is out of range or malformed.
--- a/crates/core/src/record/document.rs
+++ b/crates/core/src/record/document.rs
@@ -1,7 +1,8 @@
 //! One document of records.
 
 /// A record with its schema version; exactly one kind is present.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// Schema version of the record.
--- a/crates/core/src/record/drain.rs
+++ b/crates/core/src/record/drain.rs
@@ -3,7 +3,8 @@
 use crate::name;
 
 /// A planned drain: the subject gets no new work.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Drain {
     /// Name of the drain.
@@ -13,7 +14,8 @@
 }
 
 /// What a drain empties.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "Fields", into = "Fields")]
 pub enum Subject {
     /// One target.
@@ -25,7 +27,8 @@
 }
 
 /// The subject as it is written: one field, named after what is drained.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Fields {
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/core/src/record/fault.rs
+++ b/crates/core/src/record/fault.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 /// A fault in a file of records, with its place.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize)]
 pub struct Fault {
     /// Line of the file, from 1.
     pub line: usize,
--- a/crates/core/src/record/head.rs
+++ b/crates/core/src/record/head.rs
@@ -3,7 +3,8 @@
 use crate::unit;
 
 /// The row that tells the newest version in one read.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Head {
     /// The newest accepted version.
     pub version: unit::Version,
@@ -12,7 +13,8 @@
 }
 
 /// The row that holds what one version changed.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Change {
     /// The version that the change made.
     pub version: unit::Version,
--- a/crates/core/src/record/key.rs
+++ b/crates/core/src/record/key.rs
@@ -4,7 +4,8 @@
 use crate::secret;
 
 /// A key of a client account, by its digest.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Name of the key, for operators.
@@ -19,7 +20,8 @@
 }
 
 /// Whether a key may be used.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// The key may be used.
--- a/crates/core/src/record/link.rs
+++ b/crates/core/src/record/link.rs
@@ -4,7 +4,8 @@
 use crate::unit;
 
 /// The link between a pair of regions, shared by all traffic.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Link {
     /// Name of the link.
--- a/crates/core/src/record/objective.rs
+++ b/crates/core/src/record/objective.rs
@@ -3,7 +3,8 @@
 use crate::unit;
 
 /// The part of requests that must be answered well and in time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Objective {
     /// Part of the requests that must be good.
--- a/crates/core/src/record/policy.rs
+++ b/crates/core/src/record/policy.rs
@@ -3,7 +3,8 @@
 use crate::unit;
 
 /// What the system does where the users' measures pull apart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Policy {
     /// Part of each budget that is kept as fixed shares of the availability zones.
@@ -30,7 +31,8 @@
 }
 
 /// What an entry host does when its own tokens run out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Shortage {
     /// Ask the budget's owner while the deadline allows.
--- a/crates/core/src/record/region.rs
+++ b/crates/core/src/record/region.rs
@@ -4,7 +4,8 @@
 use crate::unit;
 
 /// A region and its availability zones.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Region {
     /// Name of the region.
--- a/crates/core/src/record/route.rs
+++ b/crates/core/src/record/route.rs
@@ -1,7 +1,8 @@
 //! A route of a service.
 
 /// Requests that a service takes, by method and path.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// HTTP methods of the route.
@@ -18,7 +19,8 @@
 }
 
 /// Who may use a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Access {
     /// Any caller, without a key.
--- a/crates/core/src/record/service.rs
+++ b/crates/core/src/record/service.rs
@@ -4,7 +4,8 @@
 use crate::unit;
 
 /// A service that targets run.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name of the service.
--- a/crates/core/src/record/shift.rs
+++ b/crates/core/src/record/shift.rs
@@ -4,7 +4,8 @@
 use crate::unit;
 
 /// A planned shift of a service's traffic between regions, under a cap.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Shift {
     /// Name of the shift.
--- a/crates/core/src/record/target.rs
+++ b/crates/core/src/record/target.rs
@@ -3,7 +3,8 @@
 use crate::name;
 
 /// A target and what it can carry.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Target {
     /// Name of the target.
--- a/crates/core/src/secret.rs
+++ b/crates/core/src/secret.rs
@@ -32,7 +32,8 @@
 }
 
 /// The digest of a caller's key, compared in constant time.
-#[derive(Clone, Copy, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest([u8; DIGEST_BYTES]);
 
--- a/crates/core/src/steer/admission.rs
+++ b/crates/core/src/steer/admission.rs
@@ -3,7 +3,8 @@
 use crate::kind;
 
 /// Everything that the admission of one request depends on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Admission {
     /// Requests that would be served before this one.
     pub ahead: u32,
@@ -27,7 +28,8 @@
 }
 
 /// What admission comes to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Ruling {
     /// The request waits for a slot.
--- a/crates/core/src/steer/candidate.rs
+++ b/crates/core/src/steer/candidate.rs
@@ -9,7 +9,8 @@
 const QUIET_SHEDS: u32 = 100;
 
 /// One drawn target, with what the host knew of it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Candidate {
     /// Index of the target among the service's targets, in order of name.
     pub index: u32,
--- a/crates/core/src/steer/choice.rs
+++ b/crates/core/src/steer/choice.rs
@@ -8,7 +8,8 @@
 pub const MAX_TIERS: usize = 8;
 
 /// Everything that one choice depends on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Inputs {
     /// Seed of the request's draws.
     pub seed: draw::Seed,
@@ -25,7 +26,8 @@
 }
 
 /// What a choice comes to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Choice {
     /// The request goes to the target with this index.
--- a/crates/core/src/steer/draw.rs
+++ b/crates/core/src/steer/draw.rs
@@ -13,19 +13,8 @@
 const EXPLORE_BASIS_POINTS: u32 = 100;
 
 /// The seed of every draw made for one request.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Seed(u64);
 
--- a/crates/core/src/steer/shifting.rs
+++ b/crates/core/src/steer/shifting.rs
@@ -3,7 +3,8 @@
 use super::draw;
 
 /// The part of a region's traffic that a shift moves at present.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Shifting {
     /// Part of the requests that move, in basis points.
     pub part: u32,
--- a/crates/core/src/steer/tier.rs
+++ b/crates/core/src/steer/tier.rs
@@ -9,19 +9,8 @@
 const COMPARED: usize = 2;
 
 /// How near the targets of a tier are; nearer ones are considered first.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Nearness {
     /// The region that a traffic shift moves the request to.
@@ -45,7 +34,8 @@
 }
 
 /// A tier and the targets that were drawn from it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Tier {
     /// How near the targets are.
     pub nearness: Nearness,
--- a/crates/core/src/timestamp.rs
+++ b/crates/core/src/timestamp.rs
@@ -6,19 +6,8 @@
 /// A wall-clock time, in milliseconds since the Unix epoch.
 ///
 /// No safety decision depends on it: leases and budgets use monotonic time.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Timestamp(u64);
 
--- a/crates/core/src/unit/bandwidth.rs
+++ b/crates/core/src/unit/bandwidth.rs
@@ -6,19 +6,8 @@
 use crate::error;
 
 /// A bandwidth in Mbit a second, written `300 Mbit/s`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Bandwidth(u64);
 
--- a/crates/core/src/unit/percent.rs
+++ b/crates/core/src/unit/percent.rs
@@ -9,19 +9,8 @@
 const MAX_BASIS_POINTS: u32 = 10_000;
 
 /// A part of a whole in basis points, written `99.9%`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Percent(u32);
 
--- a/crates/core/src/unit/rate.rs
+++ b/crates/core/src/unit/rate.rs
@@ -8,19 +8,8 @@
 const MAX_PER_SECOND: u64 = 100_000_000;
 
 /// A rate in whole requests a second, written `200/s`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Rate(u64);
 
--- a/crates/core/src/unit/span.rs
+++ b/crates/core/src/unit/span.rs
@@ -7,19 +7,8 @@
 use crate::error;
 
 /// A length of time, written like `1500ms` or `2s`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Span(time::Duration);
 
--- a/crates/core/src/unit/version.rs
+++ b/crates/core/src/unit/version.rs
@@ -3,19 +3,8 @@
 use std::fmt;
 
 /// A version of the configuration, raised by one with each accepted change.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Version(u64);
 
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -25,7 +25,8 @@
 }
 
 /// What was decided about one request.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 struct Entry {
     request: String,
     incarnation: name::Incarnation,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,7 +5,8 @@
 use skylark_core::unit;
 
 /// What an entry process is told by its settings file.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the entry host.
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -20,14 +20,16 @@
 }
 
 /// The part of a look-up answer that a caller uses.
-#[derive(Debug, serde::Deserialize)]
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
 struct Answer {
     hosts: Vec<Host>,
     home: Option<String>,
 }
 
 /// One entry host of a look-up answer.
-#[derive(Debug, serde::Deserialize)]
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
 struct Host {
     address: std::net::SocketAddr,
 }
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -4,7 +4,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A failure that the user can mend.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// An account's description cannot be read.
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -42,7 +42,8 @@
 }
 
 /// What came back for one client account.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 struct Line {
     account: String,
     sent: u64,
--- a/crates/lookup/src/answer.rs
+++ b/crates/lookup/src/answer.rs
@@ -14,7 +14,8 @@
 const ISSUE_SECONDS: u64 = 10;
 
 /// What a caller is told.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Reply {
     /// Entry hosts, the best first.
     pub hosts: Vec<Entry>,
@@ -28,7 +29,8 @@
 }
 
 /// One entry host of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// Name of the entry host.
     pub host: name::Host,
--- a/crates/lookup/src/settings.rs
+++ b/crates/lookup/src/settings.rs
@@ -4,7 +4,8 @@
 use skylark_core::record;
 
 /// What a look-up process is told by its settings file.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the entry host.
--- a/crates/runtime/src/error.rs
+++ b/crates/runtime/src/error.rs
@@ -7,7 +7,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A failure that the operator can mend.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The settings file cannot be read.
--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -6,7 +6,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A failure that the user can mend.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The command line cannot be read.
--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -1,7 +1,8 @@
 //! How the stand-in platform is told to fail.
 
 /// Faults in force, set with `PUT /faults`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Answer nothing and write nothing.
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -41,7 +41,8 @@
 }
 
 /// A connection that ends without an answer.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("no answer")]
 struct NoAnswer;
 
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -20,7 +20,8 @@
 }
 
 /// Calls that were answered since the start.
-#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(serde::Serialize)]
 pub struct Counts {
     /// Reads of rows, objects and lists.
     pub reads: u64,
--- a/crates/standin/src/target/fault.rs
+++ b/crates/standin/src/target/fault.rs
@@ -1,7 +1,8 @@
 //! How a stand-in target is told to fail.
 
 /// Faults in force at one target, set with `PUT /standin/faults`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Added time of each request, in milliseconds.
@@ -19,7 +20,8 @@
 }
 
 /// What a stand-in target does with requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Mode {
     /// Answers them.
--- a/crates/standin/src/target/serve.rs
+++ b/crates/standin/src/target/serve.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use futures::future;
+use futures::stream;
 use http_body_util::BodyExt as _;
+use http_body_util::combinators;
 use hyper::header;
 use hyper::service;
 use hyper_util::rt;
@@ -19,7 +21,7 @@
 
 const BODY_LIMIT: usize = 256;
 
-type Body = http_body_util::Full<Bytes>;
+type Body = combinators::BoxBody<Bytes, Gone>;
 
 /// Serves stand-in targets until the process ends.
 ///
@@ -54,7 +56,8 @@
 }
 
 /// A connection that ends without a whole answer.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("no whole answer")]
 struct Gone;
 
@@ -144,27 +147,39 @@
         "headers": names_seen,
         "body": echo,
     });
-    let text = said.to_string();
+    let text = Bytes::from(said.to_string());
     let length = text.len();
-    let mut answer = hyper::Response::new(Body::from(text));
+    let body = match faults.mode {
+        fault::Mode::Cutting => cut(&text),
+        fault::Mode::Normal | fault::Mode::Dead | fault::Mode::Shedding => whole(text),
+    };
+    let mut answer = hyper::Response::new(body);
     mark(&mut answer, state, faults);
     let headers = answer.headers_mut();
     if let Ok(value) = header::HeaderValue::from_str(request) {
         headers.insert(names::REQUEST_ID, value);
     }
+    headers.insert(header::CONTENT_LENGTH, header::HeaderValue::from(length));
     headers.insert(
         header::CONTENT_TYPE,
         header::HeaderValue::from_static("application/json"),
     );
-    if faults.mode == fault::Mode::Cutting {
-        headers.insert(
-            header::CONTENT_LENGTH,
-            header::HeaderValue::from(length + 1),
-        );
-    }
     answer
 }
 
+fn whole(text: Bytes) -> Body {
+    http_body_util::Full::new(text)
+        .map_err(|never| match never {})
+        .boxed()
+}
+
+/// Returns a body that breaks off after the first half of the text.
+fn cut(text: &Bytes) -> Body {
+    let half = text.slice(..text.len() / 2);
+    let parts = [Ok(hyper::body::Frame::data(half)), Err(Gone)];
+    http_body_util::StreamBody::new(stream::iter(parts)).boxed()
+}
+
 fn text<'a>(head: &'a hyper::http::request::Parts, name: &str) -> &'a str {
     head.headers
         .get(name)
@@ -206,13 +221,13 @@
 
 fn json<T: serde::Serialize>(value: &T) -> hyper::Response<Body> {
     match serde_json::to_vec(value) {
-        Ok(body) => hyper::Response::new(Body::from(body)),
+        Ok(body) => hyper::Response::new(whole(Bytes::from(body))),
         Err(_error) => status(500),
     }
 }
 
 fn status(code: u16) -> hyper::Response<Body> {
-    let mut answer = hyper::Response::new(Body::default());
+    let mut answer = hyper::Response::new(whole(Bytes::new()));
     *answer.status_mut() = hyper::StatusCode::from_u16(code).unwrap_or_default();
     answer
 }
--- a/crates/standin/src/target/state.rs
+++ b/crates/standin/src/target/state.rs
@@ -26,7 +26,8 @@
 }
 
 /// What a test reads of a target.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Report {
     /// Name of the target.
     pub name: String,
--- a/crates/steer/src/error.rs
+++ b/crates/steer/src/error.rs
@@ -6,7 +6,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A failure that the operator can mend.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The daemon's frame failed.
--- a/crates/steer/src/roster.rs
+++ b/crates/steer/src/roster.rs
@@ -16,7 +16,8 @@
 const MISSED_HEARTBEATS: u32 = 3;
 
 /// The row by which a host tells that it lives.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Heartbeat {
     host: control::Host,
     version: unit::Version,
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -6,7 +6,8 @@
 use skylark_wire::control;
 
 /// What a control process is told by its settings file.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the entry host.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -16,7 +16,8 @@
 }
 
 /// What is in force: records and the hosts that are known.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct View {
     /// Version of the records.
     pub version: unit::Version,
@@ -29,7 +30,8 @@
 }
 
 /// One life of an entry host, as other hosts see it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Host {
     /// Name of the entry host.
     pub host: name::Host,
@@ -44,7 +46,8 @@
 }
 
 /// Addresses of an entry host's processes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Ports {
     /// Where callers send requests.
@@ -60,7 +63,8 @@
 }
 
 /// Phase of an entry host's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
     /// Takes new work.
@@ -70,7 +74,8 @@
 }
 
 /// What a process has in force after an install.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Installed {
     /// Version in force.
     pub version: unit::Version,
--- a/crates/wire/src/home.rs
+++ b/crates/wire/src/home.rs
@@ -16,7 +16,8 @@
 }
 
 /// A request on its way to its home, without its caller's key.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Call {
     /// Unique id of the request.
     pub id: String,
@@ -37,7 +38,8 @@
 }
 
 /// What a home says of a request.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Reply {
     /// The target's whole answer.
     Answer(once::Answer),
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -11,7 +11,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A failed HTTP exchange.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The request could not be formed.
--- a/crates/wire/src/platform/edge.rs
+++ b/crates/wire/src/platform/edge.rs
@@ -6,7 +6,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A failed platform call.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// A condition of the transaction did not hold; nothing was written.
--- a/crates/wire/src/platform/row.rs
+++ b/crates/wire/src/platform/row.rs
@@ -3,7 +3,8 @@
 use skylark_core::name;
 
 /// One row of the table.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Row {
     /// Key of the row.
     pub key: String,
@@ -14,7 +15,8 @@
 }
 
 /// What must hold for a transaction to take effect.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Condition {
     /// Key of the row.
     pub key: String,
@@ -23,7 +25,8 @@
 }
 
 /// One write of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Write {
     /// Key of the row.
     pub key: String,
@@ -32,7 +35,8 @@
 }
 
 /// A transaction: all writes or none.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Commit {
     /// Conditions, all of which must hold.
     pub conditions: Vec<Condition>,
@@ -41,7 +45,8 @@
 }
 
 /// One line of the platform's list of hosts, which lags.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct HostEntry {
     /// Name of the host, of an entry host or a target.
     pub name: String,
@@ -52,7 +57,8 @@
 }
 
 /// What the platform says of a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum HostState {
     /// The host runs.
--- a/crates/wire/src/problem.rs
+++ b/crates/wire/src/problem.rs
@@ -6,7 +6,8 @@
 pub const MEDIA_TYPE: &str = "application/problem+json";
 
 /// The body of a refusal.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Problem {
     /// Kind of the error.
     #[serde(rename = "type")]
