--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,12 +3,16 @@
 //! Each function that decides takes `now` and borrowed views, and returns a
 //! value that can be compared, so that any decision can be run again.
 
+pub mod block;
+pub mod budget;
 pub mod catalog;
+pub mod config;
 pub mod decision;
 pub mod error;
 pub mod instant;
 pub mod kind;
 pub mod lease;
+pub mod member;
 pub mod name;
 pub mod once;
 pub mod quarantine;
