--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -1,6 +1,7 @@
 //! Which hosts vouch for the newest version, and what they can prove together.
 
 mod exchange;
+mod keep;
 mod life;
 
 mod node;
@@ -9,6 +10,7 @@
 mod watch;
 
 pub use exchange::{Answer, Ask, Evidence};
+pub use keep::keep;
 pub use life::Member;
 pub use node::Node;
 pub use past::Past;
--- a/crates/core/src/member/node.rs
+++ b/crates/core/src/member/node.rs
@@ -28,6 +28,7 @@
     vouched: collections::BTreeMap<name::Incarnation, instant::Instant>,
     proof: Option<config::Proof>,
     ahead: Option<config::Proof>,
+    has_left: bool,
 }
 
 impl Node {
@@ -45,6 +46,7 @@
             vouched: collections::BTreeMap::new(),
             proof: None,
             ahead: None,
+            has_left: false,
         }
     }
 
@@ -83,6 +85,11 @@
         }
     }
 
+    /// Vouches no more, for good, so that this life can be struck out of every roster.
+    pub fn leave(&mut self) {
+        self.has_left = true;
+    }
+
     /// Takes a roster from the table or a peer unless it is older.
     pub fn learn(&mut self, roster: &Roster) {
         if roster.generation > self.roster.generation {
@@ -162,7 +169,7 @@
     }
 
     fn is_able(&self) -> bool {
-        self.is_member() && self.version >= self.roster.floor
+        self.is_member() && !self.has_left && self.version >= self.roster.floor
     }
 
     /// Returns the evidence of a read quorum, this process included at `now`.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod header;
 pub mod http;
+pub mod peer;
 pub mod platform;
 pub mod problem;
 pub mod rpc;
