Build roster, evidence, relays and leases into the control process

Cause: every host polled the table for records and all heartbeat rows, went stale with the table, and could be told by an old proof that it was fresh: the conversion to the entry process's clock stopped at that clock's origin, so an entry process that had just started took a proof of any age for one of its own start. Two installs at once could put the older version back.

Change: members, one a zone, read the table and vouch for each other; other hosts ask their zone's member and read the table only while it does not keep them fresh. Changes travel as deltas. The address is bound before the life is named, so that a new life proves the older one on the host ended. A planned stop keeps a draining entry process fresh, then gives back leases and leaves the roster. Installs take turns, and a proof from before a life is none.

--- a/crates/core/src/lease/seat.rs
+++ b/crates/core/src/lease/seat.rs
@@ -83,6 +83,7 @@
     pending: Option<Pending>,
     renewed: instant::Instant,
     tenure: Tenure,
+    is_released: bool,
 }
 
 impl Seat {
@@ -102,6 +103,7 @@
             pending: None,
             renewed: instant::Instant::ORIGIN,
             tenure: Tenure::default(),
+            is_released: false,
         }
     }
 
@@ -130,6 +132,9 @@
                 row: pending.row.clone(),
             };
         }
+        if self.is_released {
+            return Action::Wait;
+        }
         if self.is_mine() {
             return self.renew(seen, roster, now);
         }
@@ -139,6 +144,22 @@
         }
     }
 
+    /// Stops acting as the holder and contending; returns the row to write, if this is the holder.
+    pub fn release(&mut self) -> Option<Row> {
+        self.is_released = true;
+        self.tenure.until = instant::Instant::ORIGIN;
+        let row = self
+            .seen
+            .as_ref()
+            .filter(|_seen| self.is_mine())?
+            .row
+            .clone()?;
+        Some(Row {
+            holder: None,
+            ..row
+        })
+    }
+
     /// Takes a read of the row that was sent at `asked` and answered by `now`.
     ///
     /// A refused write is followed by a read: an earlier sending of it may have
@@ -196,7 +217,7 @@
         asked: instant::Instant,
     ) {
         self.enter(roster.generation);
-        if self.held_version() == Some(version) {
+        if self.held_version() == Some(version) && !self.is_released {
             let at = self.helped.entry(member.clone()).or_default();
             *at = asked.max(*at);
             self.extend(roster);
@@ -284,7 +305,10 @@
     }
 
     fn confirm(&mut self, pending: Pending) {
-        let until = pending.sent + config::shorten(self.terms.length);
+        let until = match &pending.row.holder {
+            Some(_me) if !self.is_released => pending.sent + config::shorten(self.terms.length),
+            _ => instant::Instant::ORIGIN,
+        };
         let epoch = pending.row.epoch;
         let is_same = self.tenure.epoch == epoch;
         let until = if is_same {
--- a/crates/core/src/member/node.rs
+++ b/crates/core/src/member/node.rs
@@ -90,6 +90,12 @@
         self.has_left = true;
     }
 
+    /// Returns whether this life vouches no more.
+    #[must_use]
+    pub const fn has_left(&self) -> bool {
+        self.has_left
+    }
+
     /// Takes a roster from the table or a peer unless it is older.
     pub fn learn(&mut self, roster: &Roster) {
         if roster.generation > self.roster.generation {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -22,7 +22,8 @@
 /// Fails when the control address cannot be bound.
 pub async fn serve(state: sync::Arc<state::State>) -> io::Result<()> {
     let address = state.settings.control;
-    let handler = Handler { state };
+    let turn = sync::Arc::default();
+    let handler = Handler { state, turn };
     rpc::accept_json(address, move |transport| {
         let channel = server::BaseChannel::with_defaults(transport);
         rpc::run_calls(channel.execute(handler.clone().serve()))
@@ -33,6 +34,7 @@
 #[derive(Clone)]
 struct Handler {
     state: sync::Arc<state::State>,
+    turn: sync::Arc<sync::Mutex<()>>,
 }
 
 impl control::Control for Handler {
@@ -41,7 +43,14 @@
     }
 
     async fn install(self, _context: context::Context, view: control::View) -> control::Installed {
-        let wants = !install(&self.state, &view);
+        let wants = {
+            // One install at a time: two at once could put the older version back.
+            let _turn = self
+                .turn
+                .lock()
+                .unwrap_or_else(sync::PoisonError::into_inner);
+            !install(&self.state, &view)
+        };
         control::Installed {
             version: self.state.view().catalog.version,
             incarnation: Some(self.state.incarnation.clone()),
@@ -83,7 +92,8 @@
         state.admission.configure(&catalog, told.hosts.len());
         log::info!(version:% = catalog.version; "records in force");
     }
-    let fresh_at = present.fresh_at.max(told.fresh_at.min(state.clock.now()));
+    let now = state.clock.now();
+    let fresh_at = present.fresh_at.max(told.fresh_at.map(|at| at.min(now)));
     if told.hosts.len() != present.hosts.len() {
         log::info!(hosts = told.hosts.len(); "entry hosts known");
     }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -14,8 +14,8 @@
     pub catalog: sync::Arc<catalog::Catalog>,
     /// Entry hosts that are known to serve.
     pub hosts: sync::Arc<[control::Host]>,
-    /// Instant at or before the last proof that nothing newer was accepted.
-    pub fresh_at: instant::Instant,
+    /// Instant at or before the last proof, in this life, that nothing newer was accepted.
+    pub fresh_at: Option<instant::Instant>,
 }
 
 impl View {
@@ -25,7 +25,7 @@
         Self {
             catalog: sync::Arc::default(),
             hosts: sync::Arc::new([]),
-            fresh_at: instant::Instant::ORIGIN,
+            fresh_at: None,
         }
     }
 
@@ -38,6 +38,7 @@
     /// Returns whether keys may be checked against the records at `now`.
     #[must_use]
     pub fn is_fresh(&self, now: instant::Instant) -> bool {
-        now.since(self.fresh_at) < self.catalog.policy.stale_after.get()
+        let bound = self.catalog.policy.stale_after.get();
+        self.fresh_at.is_some_and(|at| now.since(at) < bound)
     }
 }
--- a/crates/steer/src/local.rs
+++ b/crates/steer/src/local.rs
@@ -12,6 +12,7 @@
 use tarpc::client;
 use tarpc::context;
 
+use super::known;
 use super::state;
 
 const RETELL_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -38,15 +39,23 @@
 ///
 /// Fails when the process does not answer.
 pub async fn run(state: sync::Arc<state::State>, role: Role) -> io::Result<()> {
-    let address = address(&state, role);
+    let told = keep_telling(&state, role).await;
+    if role == Role::Entry {
+        state.with(|known| known.entry = None);
+    }
+    told
+}
+
+async fn keep_telling(state: &state::State, role: Role) -> io::Result<()> {
+    let address = address(state, role);
     let transport = rpc::connect_json(address).await?;
     let peer = control::ControlClient::new(client::Config::default(), transport).spawn();
     let mut changed = state.changed.subscribe();
     let mut holds = unit::Version::NONE;
     loop {
-        let installed = tell(&state, &peer, holds).await?;
+        let installed = tell(state, &peer, holds).await?;
         if role == Role::Entry {
-            note(&state, &installed);
+            note(state, &installed);
         }
         holds = installed.version;
         if !installed.wants {
@@ -75,12 +84,12 @@
         theirs,
         own: state.clock.now(),
     };
-    let known = state.known();
+    let known = state.view();
     let records = (known.version > holds).then(|| known.records.as_ref().clone());
     let view = control::View {
         version: known.version,
         records,
-        fresh_at: reading.convert(known.fresh_at),
+        fresh_at: known.fresh_at.and_then(|at| reading.convert(at)),
         hosts: known.hosts,
     };
     peer.install(context::current(), view)
@@ -90,8 +99,12 @@
 
 impl Reading {
     /// Returns an instant of the receiver's clock that is not after the own instant `at`.
-    fn convert(&self, at: instant::Instant) -> instant::Instant {
-        self.theirs.before(self.own.since(at))
+    ///
+    /// There is none when `at` lies before the receiver's life.
+    fn convert(&self, at: instant::Instant) -> Option<instant::Instant> {
+        let age = self.own.since(at);
+        let life = self.theirs.since(instant::Instant::ORIGIN);
+        (life >= age).then(|| self.theirs.before(age))
     }
 }
 
@@ -99,10 +112,10 @@
     let Some(incarnation) = installed.incarnation.clone() else {
         return;
     };
-    let entry = state::Entry {
+    let entry = known::Entry {
         incarnation,
         phase: installed.phase,
         version: installed.version,
     };
-    state.learn(|known| known.entry = Some(entry));
+    state.with(|known| known.entry = Some(entry));
 }
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the control process.
 
+use std::time;
+
 use skylark_core::name;
 use skylark_core::record;
 use skylark_core::unit;
@@ -15,6 +17,9 @@
     pub zone: name::Zone,
     /// Addresses of the host's processes, as other hosts reach them.
     pub ports: control::Ports,
+    /// Address on which to hear peers, where it is not the one that they reach.
+    #[serde(default, rename = "steer_listen")]
+    pub hear: Option<record::Address>,
     /// Address on which the look-up process takes control calls.
     #[serde(rename = "lookup_control")]
     pub lookup_control: record::Address,
@@ -28,6 +33,9 @@
     /// Pause between two heartbeats.
     #[serde(default = "default_heartbeat")]
     pub heartbeat: unit::Span,
+    /// Longest time for which a planned stop waits for the entry process.
+    #[serde(default = "default_drain")]
+    pub drain: unit::Span,
     /// Address that takes metrics as statsd datagrams; none sends none.
     #[serde(default)]
     pub statsd: Option<record::Address>,
@@ -36,8 +44,24 @@
     pub threads: usize,
 }
 
+impl Settings {
+    /// Returns the time after which a peer that gives no sign of life counts as silent.
+    #[must_use]
+    pub fn patience(&self) -> time::Duration {
+        self.heartbeat.get() * MISSED_HEARTBEATS
+    }
+
+    /// Returns the address on which to hear peers.
+    #[must_use]
+    pub fn steer_listen(&self) -> record::Address {
+        self.hear.unwrap_or(self.ports.steer)
+    }
+}
+
+const MISSED_HEARTBEATS: u32 = 3;
 const DEFAULT_POLL_MILLIS: u64 = 500;
 const DEFAULT_HEARTBEAT_MILLIS: u64 = 2_000;
+const DEFAULT_DRAIN_MILLIS: u64 = 40_000;
 const DEFAULT_THREADS: usize = 1;
 
 const fn default_poll() -> unit::Span {
@@ -48,6 +72,10 @@
     unit::Span::from_millis(DEFAULT_HEARTBEAT_MILLIS)
 }
 
+const fn default_drain() -> unit::Span {
+    unit::Span::from_millis(DEFAULT_DRAIN_MILLIS)
+}
+
 const fn default_threads() -> usize {
     DEFAULT_THREADS
 }
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -3,13 +3,19 @@
 use std::sync;
 
 use skylark_core::instant;
+use skylark_core::lease;
+use skylark_core::member;
 use skylark_core::name;
 use skylark_core::record;
 use skylark_core::unit;
 use skylark_runtime::clock;
+use skylark_runtime::identity;
 use skylark_wire::control;
+use skylark_wire::peer;
 use skylark_wire::platform;
 
+use super::error;
+use super::known;
 use super::settings;
 
 /// Everything that the tasks of the control process share.
@@ -17,71 +23,96 @@
 pub struct State {
     /// Settings of the process.
     pub settings: settings::Settings,
+    /// This life of the process, as a member of the roster.
+    pub me: member::Member,
     /// Monotonic clock.
     pub clock: clock::Clock,
     /// Client of the platform.
     pub platform: platform::Client,
     /// Wakes the tasks that tell the host's processes.
     pub changed: tokio::sync::watch::Sender<u64>,
-    known: sync::Mutex<Known>,
+    known: sync::Mutex<known::Known>,
 }
 
-/// What the control process knows.
-#[derive(Clone, Debug, Default)]
-pub struct Known {
-    /// Newest version that was read.
+/// What the host's own processes are told.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Version in force.
     pub version: unit::Version,
     /// Records of that version.
     pub records: sync::Arc<Vec<record::Document>>,
-    /// Instant before the last read that showed nothing newer.
-    pub fresh_at: instant::Instant,
+    /// Instant before the last proof that nothing newer was accepted, if there is one.
+    pub fresh_at: Option<instant::Instant>,
     /// Entry hosts that are known to serve.
     pub hosts: Vec<control::Host>,
-    /// Life and phase of this host's entry process, and the version that it has in force.
-    pub entry: Option<Entry>,
-}
-
-/// What this host's entry process said last.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Entry {
-    /// Name of this life of the entry process.
-    pub incarnation: name::Incarnation,
-    /// Whether it takes new work.
-    pub phase: control::Phase,
-    /// Version that it has in force.
-    pub version: unit::Version,
 }
 
 impl State {
     /// Creates the state of a process that knows nothing.
-    #[must_use]
-    pub fn new(settings: settings::Settings) -> Self {
-        Self {
-            clock: clock::Clock::new(),
+    ///
+    /// # Errors
+    ///
+    /// Fails when no incarnation can be drawn.
+    pub fn new(settings: settings::Settings) -> error::Result<Self> {
+        let clock = clock::Clock::new();
+        let me = member::Member {
+            incarnation: identity::incarnation(&settings.host)?,
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            steer: settings.ports.steer,
+        };
+        let known = known::Known::new(me.clone(), clock.now());
+        Ok(Self {
+            clock,
             platform: platform::Client::new(&settings.platform),
             changed: tokio::sync::watch::Sender::new(0),
-            known: sync::Mutex::default(),
+            known: sync::Mutex::new(known),
+            me,
             settings,
-        }
+        })
     }
 
-    /// Returns what is known.
-    #[must_use]
-    pub fn known(&self) -> Known {
-        self.known
+    /// Reads or changes what is known.
+    pub fn with<R>(&self, act: impl FnOnce(&mut known::Known) -> R) -> R {
+        act(&mut self
+            .known
             .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-            .clone()
+            .unwrap_or_else(sync::PoisonError::into_inner))
+    }
+
+    /// Returns what the host's own processes are told.
+    pub fn view(&self) -> View {
+        let now = self.clock.now();
+        self.with(|known| View {
+            version: known.config.version(),
+            records: sync::Arc::clone(&known.records),
+            fresh_at: known.node.proof(now).map(|proof| proof.at),
+            hosts: known.hosts(self.settings.patience(), now),
+        })
     }
 
-    /// Changes what is known.
-    pub fn learn(&self, change: impl FnOnce(&mut Known)) {
-        change(
-            &mut self
-                .known
-                .lock()
-                .unwrap_or_else(sync::PoisonError::into_inner),
-        );
+    /// Returns this host as its peers see it, once its entry process is known.
+    pub fn host(&self) -> Option<control::Host> {
+        let entry = self.with(|known| known.entry.clone())?;
+        Some(control::Host {
+            host: self.settings.host.clone(),
+            incarnation: entry.incarnation,
+            zone: self.settings.zone.clone(),
+            ports: self.settings.ports,
+            phase: entry.phase,
+        })
+    }
+
+    /// Forms the question that peers are asked.
+    pub fn question(&self) -> peer::Question {
+        let host = self.host();
+        self.with(|known| peer::Question {
+            ask: known.node.ask(),
+            host,
+            installed: known.installed(),
+            leases: known.held(),
+            stamps: known.directory.stamps(),
+        })
     }
 
     /// Wakes the tasks that tell the host's processes.
@@ -89,9 +120,22 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Returns whether any records are known.
+    /// Returns the time for which this process may act under a lease.
+    ///
+    /// The process contends for the lease from the first call on.
+    pub fn tenure(&self, lease: &str) -> lease::Tenure {
+        self.with(|known| known.seat(lease).tenure())
+    }
+
+    /// Returns whether records are known and proved to be the newest.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.known().version > unit::Version::NONE
+        let view = self.view();
+        view.version > unit::Version::NONE && view.fresh_at.is_some()
+    }
+
+    /// Returns this life's name.
+    pub const fn incarnation(&self) -> &name::Incarnation {
+        &self.me.incarnation
     }
 }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -22,8 +22,10 @@
     pub version: unit::Version,
     /// The records, absent where the receiver holds this version.
     pub records: Option<Vec<record::Document>>,
-    /// Instant on the receiver's clock at or before the last proof that nothing newer exists.
-    pub fresh_at: instant::Instant,
+    /// Instant on the receiver's clock at or before the last proof that nothing newer was accepted.
+    ///
+    /// Absent when there is no proof from the receiver's own life.
+    pub fresh_at: Option<instant::Instant>,
     /// Entry hosts that are known to serve.
     pub hosts: Vec<Host>,
 }
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -79,7 +79,26 @@
     F: Fn(CompactTransport<In, Out>) -> R,
     R: future::Future<Output = ()> + Send + 'static,
 {
-    let mut incoming = tcp::listen(address, formats::Bincode::default).await?;
+    let listener = tokio::net::TcpListener::bind(address).await?;
+    accept_compact_on(listener, answer).await
+}
+
+/// Hands each connection of a bound listener to `answer`, until the task is dropped.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub async fn accept_compact_on<In, Out, F, R>(
+    listener: tokio::net::TcpListener,
+    answer: F,
+) -> Result<()>
+where
+    In: serde::de::DeserializeOwned,
+    Out: serde::Serialize,
+    F: Fn(CompactTransport<In, Out>) -> R,
+    R: future::Future<Output = ()> + Send + 'static,
+{
+    let mut incoming = tcp::listen_on(listener, formats::Bincode::default).await?;
     while let Some(transport) = incoming.next().await {
         if let Ok(transport) = transport {
             tokio::spawn(answer(transport));
