--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,8 @@
 //! Each function that decides takes `now` and borrowed views, and returns a
 //! value that can be compared, so that any decision can be run again.
 
+pub mod block;
+pub mod budget;
 pub mod catalog;
 pub mod config;
 pub mod decision;
@@ -12,6 +14,8 @@
 pub mod lease;
 pub mod member;
 pub mod name;
+pub mod once;
+pub mod quarantine;
 pub mod record;
 pub mod secret;
 pub mod steer;
