Complete the operator's command line: diff, remove, shift, status, replay, burn

A change waits until each entry host that is heard has it in force, and names those that are behind (exit code 8) or silent. Replay rebuilds the records of a decision's own version from the changes.

--- a/crates/cli/src/command/drain.rs
+++ b/crates/cli/src/command/drain.rs
@@ -2,6 +2,7 @@
 
 use skylark_core::name;
 use skylark_core::record;
+use skylark_core::suggest;
 
 use crate::error;
 use crate::options;
@@ -15,8 +16,7 @@
 /// Fails when the subject is unknown, or the change is not accepted.
 pub async fn run(session: &session::Session, flags: &options::Drain) -> error::Result<()> {
     let subject = subject(&flags.kind, &flags.name)?;
-    let store = session.store()?;
-    let base = store.snapshot().await?;
+    let base = session.store()?.snapshot().await?;
     let drain = record::Drain {
         name: format!("{}-{}", flags.kind, flags.name),
         subject,
@@ -26,36 +26,29 @@
         drain: Some(drain),
         ..record::Document::empty()
     };
-    let is_drained = base.records.contains_key(&id);
-    let edit = match (flags.undo, is_drained) {
-        (false, false) => store::Edit {
-            put: vec![document],
-            removed: Vec::new(),
-        },
-        (true, true) => store::Edit {
+    let edit = if flags.undo {
+        store::Edit {
             put: Vec::new(),
-            removed: vec![id],
-        },
-        _ => store::Edit::default(),
-    };
-    let (put, removed) = (edit.put.len(), edit.removed.len());
-    let version = if edit.is_empty() {
-        base.head.version
+            removed: base
+                .records
+                .keys()
+                .filter(|known| **known == id)
+                .cloned()
+                .collect(),
+        }
     } else {
-        store.commit(&base, edit).await?
-    };
-    let accepted = super::Accepted {
-        version,
-        put,
-        removed,
+        store::Edit {
+            put: base.changed(&[document]),
+            removed: Vec::new(),
+        }
     };
     let state = if flags.undo {
-        "takes work"
+        "takes work again"
     } else {
-        "is drained"
+        "gets no new work"
     };
-    let sentence = format!("version {version}: {} {} {state}", flags.kind, flags.name);
-    session.say(&accepted, &sentence)
+    let what = format!("{} {} {state}", flags.kind, flags.name);
+    super::commit(session, &base, edit, &what).await
 }
 
 fn subject(kind: &str, name: &str) -> error::Result<record::Subject> {
@@ -63,8 +56,10 @@
         "target" => Ok(record::Subject::Target(name::Target::new(name)?)),
         "zone" => Ok(record::Subject::Zone(name::Zone::new(name)?)),
         "host" => Ok(record::Subject::Host(name::Host::new(name)?)),
-        other => Err(error::Error::Usage(format!(
-            "'{other}' cannot be drained: write target, zone or host"
-        ))),
+        other => {
+            let hint = suggest::hint(other, ["target", "zone", "host"]);
+            let text = format!("'{other}' cannot be drained: {hint}");
+            Err(error::Error::Usage(text))
+        }
     }
 }
--- a/crates/cli/src/command/get.rs
+++ b/crates/cli/src/command/get.rs
@@ -1,28 +1,49 @@
 //! `skylark get`: shows records.
 
+use std::io::Write as _;
+
 use skylark_core::record;
+use skylark_core::suggest;
 
 use crate::error;
 use crate::options;
 use crate::session;
 use crate::table;
 
-/// Prints the records of one kind, or of all.
+/// Prints all records, those of one kind, or one.
 ///
 /// # Errors
 ///
-/// Fails when the platform does not answer.
+/// Fails when no record has the name, or the platform does not answer.
 pub async fn run(session: &session::Session, flags: &options::Get) -> error::Result<()> {
+    if let Some(kind) = &flags.kind {
+        check_kind(kind)?;
+    }
     let snapshot = session.store()?.snapshot().await?;
-    let is_asked = |id: &str| {
-        let kind = id.split('/').next();
-        flags.kind.is_none() || flags.kind.as_deref() == kind
+    let prefix = match (&flags.kind, &flags.name) {
+        (Some(kind), Some(name)) => format!("{kind}/{name}"),
+        (Some(kind), None) => format!("{kind}/"),
+        _ => String::new(),
+    };
+    let is_asked = |id: &str| match &flags.name {
+        Some(_name) => id == prefix,
+        None => id.starts_with(&prefix),
     };
     let found: Vec<(&String, &record::Document)> = snapshot
         .records
         .iter()
         .filter(|(id, _document)| is_asked(id))
         .collect();
+    if found.is_empty() && flags.name.is_some() {
+        let known = snapshot.records.keys().map(String::as_str);
+        let hint = suggest::nearest(&prefix, known);
+        let hint = hint.map(|id| format!(": did you mean '{id}'?"));
+        let text = format!("no record is '{prefix}'{}", hint.unwrap_or_default());
+        return Err(error::Error::Absent(text));
+    }
+    if flags.yaml {
+        return print_yaml(&found);
+    }
     if session.format() == session::Format::Programs {
         let documents: Vec<&record::Document> = found.iter().map(|(_id, d)| *d).collect();
         return session.say(&documents, "");
@@ -32,6 +53,25 @@
     table::print(&["record", "schema", "content"], &rows)
 }
 
+fn check_kind(kind: &str) -> error::Result<()> {
+    if record::Document::KINDS.contains(&kind) {
+        return Ok(());
+    }
+    let hint = suggest::hint(kind, record::Document::KINDS);
+    Err(error::Error::Usage(format!(
+        "'{kind}' is no kind of record: {hint}"
+    )))
+}
+
+fn print_yaml(found: &[(&String, &record::Document)]) -> error::Result<()> {
+    let texts = found
+        .iter()
+        .map(|(_id, document)| serde_yaml_ng::to_string(document));
+    let texts = texts.collect::<Result<Vec<String>, _>>()?;
+    write!(anstream::stdout().lock(), "{}", texts.join("---\n"))?;
+    Ok(())
+}
+
 fn row(id: &str, document: &record::Document) -> error::Result<Vec<String>> {
     let value = serde_json::to_value(document)?;
     let kind = id.split('/').next().unwrap_or_default();
@@ -39,7 +79,7 @@
     let fields = fields.into_iter().flatten();
     let cells: Vec<String> = fields
         .filter(|(name, _value)| !matches!(name.as_str(), "name" | "digest"))
-        .map(|(name, value)| format!("{name}={}", plain(value)))
+        .map(|(name, value)| format!("{name}={}", table::plain(value)))
         .collect();
     Ok(vec![
         id.to_owned(),
@@ -47,10 +87,3 @@
         cells.join(" "),
     ])
 }
-
-fn plain(value: &serde_json::Value) -> String {
-    match value {
-        serde_json::Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
--- a/crates/cli/src/command/key.rs
+++ b/crates/cli/src/command/key.rs
@@ -3,6 +3,7 @@
 use skylark_core::name;
 use skylark_core::record;
 use skylark_core::secret;
+use skylark_core::suggest;
 use skylark_core::unit;
 
 use crate::error;
@@ -51,7 +52,8 @@
         secret,
         version,
     };
-    session.say(&issued, &sentence)
+    session.say(&issued, &sentence)?;
+    session.wait(version).await
 }
 
 /// Withdraws a key for good.
@@ -60,32 +62,30 @@
 ///
 /// Fails when no key has the name, or the change is not accepted.
 pub async fn withdraw(session: &session::Session, flags: &options::Withdraw) -> error::Result<()> {
-    let store = session.store()?;
-    let base = store.snapshot().await?;
+    let base = session.store()?.snapshot().await?;
     let known = base.records.get(&id(&flags.name));
     let known = known.and_then(|document| document.key.clone());
-    let mut key =
-        known.ok_or_else(|| error::Error::Absent(format!("no key is named '{}'", flags.name)))?;
+    let mut key = known.ok_or_else(|| absent(&base, &flags.name))?;
     if key.state == record::State::Withdrawn {
-        let version = base.head.version;
-        let sentence = format!("key '{}' is withdrawn already", flags.name);
-        return session.say(&accepted(version, 0), &sentence);
+        let what = format!("key '{}' withdrawn", flags.name);
+        return super::commit(session, &base, store::Edit::default(), &what).await;
     }
     key.state = record::State::Withdrawn;
-    let version = store.commit(&base, edit(key)).await?;
-    let sentence = format!(
-        "version {version} is accepted: key '{}' withdrawn",
-        flags.name
-    );
-    session.say(&accepted(version, 1), &sentence)
+    let what = format!("key '{}' withdrawn", flags.name);
+    super::commit(session, &base, edit(key), &what).await
 }
 
-const fn accepted(version: unit::Version, put: usize) -> super::Accepted {
-    super::Accepted {
-        version,
-        put,
-        removed: 0,
-    }
+fn absent(base: &store::Snapshot, name: &str) -> error::Error {
+    let keys = base
+        .records
+        .values()
+        .filter_map(|record| record.key.as_ref());
+    let hint = suggest::nearest(name, keys.map(|key| key.name.as_str()));
+    let hint = hint.map(|hint| format!(": did you mean '{hint}'?"));
+    error::Error::Absent(format!(
+        "no key is named '{name}'{}",
+        hint.unwrap_or_default()
+    ))
 }
 
 fn id(name: &str) -> String {
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -1,14 +1,23 @@
 //! The commands, one module each.
 
 mod apply;
+mod burn;
 mod check;
+mod diff;
 mod drain;
 mod get;
 mod key;
+mod remove;
+mod replay;
+mod shift;
+mod status;
+
+use skylark_core::unit;
 
 use super::error;
 use super::options;
 use super::session;
+use super::store;
 
 /// Runs one command.
 ///
@@ -20,22 +29,60 @@
     match command {
         Command::Check(flags) => check::run(session, &flags),
         Command::Apply(flags) => apply::run(session, &flags).await,
+        Command::Diff(flags) => diff::run(session, &flags).await,
         Command::Get(flags) => get::run(session, &flags).await,
+        Command::Remove(flags) => remove::run(session, &flags).await,
         Command::Key(flags) => match flags.subcommand {
             options::KeyCmd::Issue(flags) => key::issue(session, &flags).await,
             options::KeyCmd::Withdraw(flags) => key::withdraw(session, &flags).await,
         },
+        Command::Shift(flags) => shift::run(session, &flags).await,
         Command::Drain(flags) => drain::run(session, &flags).await,
+        Command::Status(_) => status::run(session).await,
+        Command::Replay(flags) => replay::run(session, &flags).await,
+        Command::Burn(flags) => burn::run(session, &flags).await,
     }
 }
 
 /// What a command that writes prints.
 #[derive(Clone, Copy, Debug, serde::Serialize)]
-pub struct Accepted {
+struct Accepted {
     /// The newest version after the command.
-    pub version: skylark_core::unit::Version,
+    version: unit::Version,
     /// Records that were put.
-    pub put: usize,
+    put: usize,
     /// Records that were removed.
-    pub removed: usize,
+    removed: usize,
+}
+
+/// Commits an edit, says what was accepted, and waits until it is in force everywhere.
+///
+/// # Errors
+///
+/// Fails when the edit is refused, or not in force everywhere in time.
+async fn commit(
+    session: &session::Session,
+    base: &store::Snapshot,
+    edit: store::Edit,
+    what: &str,
+) -> error::Result<()> {
+    let (put, removed) = (edit.put.len(), edit.removed.len());
+    if edit.is_empty() {
+        let version = base.head.version;
+        let sentence = format!("nothing to change: version {version} has it so ({what})");
+        let accepted = Accepted {
+            version,
+            put,
+            removed,
+        };
+        return session.say(&accepted, &sentence);
+    }
+    let version = session.store()?.commit(base, edit).await?;
+    let accepted = Accepted {
+        version,
+        put,
+        removed,
+    };
+    session.say(&accepted, &format!("version {version} is accepted: {what}"))?;
+    session.wait(version).await
 }
--- /dev/null
+++ b/crates/cli/src/command/shift.rs
@@ -0,0 +1,59 @@
+//! `skylark shift`: shifts a service's traffic between regions.
+
+use skylark_core::name;
+use skylark_core::record;
+
+use crate::error;
+use crate::options;
+use crate::session;
+use crate::store;
+
+/// Puts or removes the record of a shift.
+///
+/// # Errors
+///
+/// Fails when a name is unknown, a flag lacks, or the change is not accepted.
+pub async fn run(session: &session::Session, flags: &options::Shift) -> error::Result<()> {
+    let name = format!("{}-{}-{}", flags.service, flags.from, flags.to);
+    let id = format!("shift/{name}");
+    let base = session.store()?.snapshot().await?;
+    let edit = if flags.undo {
+        store::Edit {
+            put: Vec::new(),
+            removed: base
+                .records
+                .keys()
+                .filter(|known| **known == id)
+                .cloned()
+                .collect(),
+        }
+    } else {
+        let document = document(name, flags)?;
+        store::Edit {
+            put: base.changed(&[document]),
+            removed: Vec::new(),
+        }
+    };
+    let state = if flags.undo { "ended" } else { "in force" };
+    let what = format!("{id} {state}");
+    super::commit(session, &base, edit, &what).await
+}
+
+fn document(name: String, flags: &options::Shift) -> error::Result<record::Document> {
+    let (Some(part), Some(cap)) = (flags.part, flags.cap) else {
+        let text = "give --part and --cap, or --undo".to_owned();
+        return Err(error::Error::Usage(text));
+    };
+    let shift = record::Shift {
+        name,
+        service: name::Service::new(&flags.service)?,
+        from: name::Region::new(&flags.from)?,
+        to: name::Region::new(&flags.to)?,
+        part,
+        cap,
+    };
+    Ok(record::Document {
+        shift: Some(shift),
+        ..record::Document::empty()
+    })
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the command line, each with its exit code.
 
 use skylark_core::error;
+use skylark_core::unit;
 use skylark_wire::platform;
 
 use super::files;
@@ -12,6 +13,9 @@
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
+    /// What was compared differs.
+    #[error("{0}")]
+    Differs(String),
     /// The command line lacks something.
     #[error("{0}")]
     Usage(String),
@@ -24,12 +28,12 @@
         source: std::io::Error,
     },
     /// Records are refused; nothing was written.
-    #[error("{}", list(.faults))]
+    #[error("{} faults, nothing was written", .faults.len())]
     Records {
         /// Every fault, each with its place.
         faults: Vec<files::Fault>,
     },
-    /// A name or quantity is refused; nothing was written.
+    /// A name, quantity or record is refused; nothing was written.
     #[error("{0}")]
     Text(#[from] error::Error),
     /// Another operator's change came first; nothing was written.
@@ -45,36 +49,69 @@
     )]
     Unknown {
         /// The version that the write would have made.
-        version: skylark_core::unit::Version,
+        version: unit::Version,
         /// Why it is not known.
         reason: String,
     },
     /// Nothing has the name that was asked for.
     #[error("{0}")]
     Absent(String),
+    /// A change is accepted and not in force everywhere yet.
+    #[error("version {version} is accepted and not yet in force on {}", .hosts.join(", "))]
+    Pending {
+        /// The accepted version.
+        version: unit::Version,
+        /// Entry hosts on which it is not in force.
+        hosts: Vec<String>,
+    },
     /// The output cannot be written.
     #[error("the output cannot be written: {0}")]
     Output(#[from] std::io::Error),
     /// A value cannot be written as JSON.
     #[error("the output cannot be written as JSON: {0}")]
     Json(#[from] serde_json::Error),
+    /// A value cannot be written as YAML.
+    #[error("the output cannot be written as YAML: {0}")]
+    Yaml(#[from] serde_yaml_ng::Error),
+    /// A plot cannot be drawn.
+    #[error("the plot cannot be drawn: {0}")]
+    Plot(String),
     /// The system has no randomness for a secret.
     #[error("no secret can be drawn: {0}")]
     Random(String),
 }
 
 impl Error {
+    /// Creates the error of a command line that cannot be understood.
+    #[must_use]
+    pub fn usage(reason: &str, suggestion: Option<&str>) -> Self {
+        let hint = suggestion.map(|name| format!(": did you mean '{name}'?"));
+        let hint = hint.unwrap_or_default();
+        Self::Usage(format!("{reason}{hint} (see `skylark --help`)"))
+    }
+
+    /// Returns the faults of refused records.
+    #[must_use]
+    pub fn faults(&self) -> &[files::Fault] {
+        match self {
+            Self::Records { faults } => faults,
+            _ => &[],
+        }
+    }
+
     /// Returns the exit code of the process that fails with this error.
     #[must_use]
     pub const fn exit_code(&self) -> u8 {
         match self {
-            Self::Output(_) | Self::Json(_) | Self::Random(_) => 1,
+            Self::Differs(_) => 1,
             Self::Usage(_) => 2,
             Self::File { .. } | Self::Records { .. } | Self::Text(_) => 3,
             Self::Conflict => 4,
             Self::Platform(_) => 5,
             Self::Unknown { .. } => 6,
             Self::Absent(_) => 7,
+            Self::Pending { .. } => 8,
+            Self::Output(_) | Self::Json(_) | Self::Yaml(_) | Self::Plot(_) | Self::Random(_) => 9,
         }
     }
 }
@@ -87,9 +124,3 @@
         }
     }
 }
-
-/// Joins faults to lines; each but the first gets its own `error:`.
-fn list(faults: &[files::Fault]) -> String {
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    lines.join("\nerror: ")
-}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,14 +1,19 @@
 //! The operator's command line: it reads and writes records and nothing else.
 
 mod command;
+mod decisions;
 mod error;
 mod files;
 mod options;
+mod print;
 mod random;
+mod roster;
 mod session;
 mod store;
 mod table;
 
+use std::env;
+use std::ffi;
 use std::process;
 
 pub use error::{Error, Result};
@@ -17,11 +22,31 @@
 /// Runs the command that the command line names and returns its exit code.
 #[must_use]
 pub fn run() -> process::ExitCode {
-    let options = options::Skylark::from_env_or_exit();
-    match session::run(options) {
+    let arguments: Vec<ffi::OsString> = env::args_os().skip(1).collect();
+    let texts: Vec<String> = arguments
+        .iter()
+        .map(|argument| argument.to_string_lossy().into_owned())
+        .collect();
+    if texts.iter().any(|text| text == "--version" || text == "-V") {
+        anstream::println!("skylark {}", env!("CARGO_PKG_VERSION"));
+        return process::ExitCode::SUCCESS;
+    }
+    let is_json = texts.iter().any(|text| text == "--json");
+    let result = match options::Skylark::from_vec(arguments) {
+        Ok(options) => session::run(options),
+        Err(error) if error.is_help() => {
+            anstream::println!("{error}");
+            return process::ExitCode::SUCCESS;
+        }
+        Err(error) => Err(error::Error::usage(
+            &error.to_string(),
+            options::suggestion(&texts),
+        )),
+    };
+    match result {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("error: {error}");
+            print::failure(&error, is_json);
             process::ExitCode::from(error.exit_code())
         }
     }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -2,6 +2,15 @@
 
 use std::path::PathBuf;
 
+use skylark_core::suggest;
+use skylark_core::unit::{Percent, Rate, Span};
+
+/// Names of the commands, for suggestions.
+const COMMANDS: [&str; 13] = [
+    "check", "apply", "diff", "get", "remove", "key", "issue", "withdraw", "shift", "drain",
+    "status", "replay", "burn",
+];
+
 xflags::xflags! {
     /// Drives skylarkmount by writing records.
     cmd skylark {
@@ -9,6 +18,10 @@
         optional --platform url: String
         /// Print JSON for programs
         optional --json
+        /// Longest wait until a change is in force on every entry host, such as 30s; 0s waits not
+        optional --wait span: Span
+        /// Print the version
+        optional -V, --version
 
         /// Check files of records without a platform
         cmd check {
@@ -19,11 +32,27 @@
         cmd apply {
             /// Files of records in YAML
             repeated files: PathBuf
+            /// Show what would change, and write nothing
+            optional --dry-run
+        }
+        /// Show how the records of files differ from those accepted
+        cmd diff {
+            /// Files of records in YAML
+            repeated files: PathBuf
         }
         /// Show records
         cmd get {
             /// Kind of the records, such as account
             optional kind: String
+            /// Name of one record
+            optional name: String
+            /// Print YAML that can be changed and applied
+            optional --yaml
+        }
+        /// Remove records
+        cmd remove {
+            /// Records as KIND/NAME
+            repeated ids: String
         }
         /// Issue and withdraw keys of callers
         cmd key {
@@ -40,6 +69,21 @@
                 required name: String
             }
         }
+        /// Shift part of a service's traffic from one region to another, under a cap
+        cmd shift {
+            /// Service whose traffic moves
+            required service: String
+            /// Region that gives traffic up
+            required --from region: String
+            /// Region that takes traffic on
+            required --to region: String
+            /// Part of the giving region's traffic that moves in the end, such as 50%
+            optional --part part: Percent
+            /// Most shifted requests a second over all entry hosts, such as 100/s
+            optional --cap rate: Rate
+            /// End the shift
+            optional --undo
+        }
         /// Give a target, availability zone or entry host no new work
         cmd drain {
             /// One of target, zone and host
@@ -49,5 +93,30 @@
             /// End the drain
             optional --undo
         }
+        /// Show which entry hosts live, and what they have in force
+        cmd status { }
+        /// Run recorded decisions again and compare
+        cmd replay {
+            /// Id of the request, as its answer's request-id header gave it
+            optional id: String
+            /// Run every recorded decision again
+            optional --all
+        }
+        /// Report how fast error budgets burn
+        cmd burn {
+            /// Length of the short window, such as 5m
+            optional --short span: Span
+            /// Length of the long window, such as 1h
+            optional --long span: Span
+            /// Write a page with plots to this file
+            optional --html file: PathBuf
+        }
     }
 }
+
+/// Returns a suggestion for the first word that looks like a mistyped command.
+pub fn suggestion(arguments: &[String]) -> Option<&'static str> {
+    let words = arguments.iter().filter(|word| !word.starts_with('-'));
+    let mut unknown = words.filter(|word| !COMMANDS.contains(&word.as_str()));
+    unknown.find_map(|word| suggest::nearest(word, COMMANDS))
+}
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -1,16 +1,19 @@
 //! One run of the command line.
 
 use std::env;
-use std::io;
 use std::io::Write as _;
+use std::time;
 
+use skylark_core::unit;
 use skylark_wire::platform;
 
 use super::command;
 use super::error;
 use super::options;
+use super::roster;
 use super::store;
 
+const DEFAULT_WAIT: time::Duration = time::Duration::from_secs(30);
 const PLATFORM_VARIABLE: &str = "SKYLARK_PLATFORM";
 
 /// What a command needs besides its own flags.
@@ -18,6 +21,7 @@
 pub struct Session {
     url: Option<String>,
     format: Format,
+    wait: time::Duration,
 }
 
 /// For whom output is printed.
@@ -36,16 +40,34 @@
         self.format
     }
 
-    /// Returns the records as the platform holds them.
+    /// Returns a client of the platform.
     ///
     /// # Errors
     ///
     /// Fails when no address of the platform was given.
-    pub fn store(&self) -> error::Result<store::Store<platform::Client>> {
+    pub fn platform(&self) -> error::Result<platform::Client> {
         let url = self.url.as_deref().ok_or_else(|| {
             error::Error::Usage(format!("give --platform URL or set {PLATFORM_VARIABLE}"))
         })?;
-        Ok(store::Store::new(platform::Client::new(url)))
+        Ok(platform::Client::new(url))
+    }
+
+    /// Returns the records as the platform holds them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no address of the platform was given.
+    pub fn store(&self) -> error::Result<store::Store<platform::Client>> {
+        Ok(store::Store::new(self.platform()?))
+    }
+
+    /// Waits until a version is in force on every entry host that is heard.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the version is not in force everywhere in time.
+    pub async fn wait(&self, version: unit::Version) -> error::Result<()> {
+        roster::wait(&self.platform()?, version, self.wait).await
     }
 
     /// Prints a value as JSON, or a sentence for people.
@@ -54,7 +76,7 @@
     ///
     /// Fails when the output cannot be written.
     pub fn say<T: serde::Serialize>(&self, value: &T, sentence: &str) -> error::Result<()> {
-        let mut out = io::stdout().lock();
+        let mut out = anstream::stdout().lock();
         match self.format {
             Format::People => writeln!(out, "{sentence}")?,
             Format::Programs => writeln!(out, "{}", serde_json::to_string(value)?)?,
@@ -78,6 +100,7 @@
         } else {
             Format::People
         },
+        wait: options.wait.map_or(DEFAULT_WAIT, unit::Span::get),
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -12,6 +12,7 @@
 use super::random;
 
 const HEAD: &str = "head";
+const CHANGE_PREFIX: &str = "change/";
 const RECORD_PREFIX: &str = "record/";
 const READ_TRIES: u32 = 10;
 const READ_BACK_TRIES: u32 = 10;
@@ -133,6 +134,32 @@
         }
     }
 
+    /// Returns the catalogs of the given versions, rebuilt from the changes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer or its changes cannot be read.
+    pub async fn catalogs(
+        &self,
+        versions: &collections::BTreeSet<unit::Version>,
+    ) -> error::Result<collections::BTreeMap<unit::Version, catalog::Catalog>> {
+        let rows = self.platform.rows(CHANGE_PREFIX).await?;
+        let changes = rows.iter().map(read::<record::Change>);
+        let mut changes = changes.collect::<error::Result<Vec<_>>>()?;
+        changes.sort_by_key(|change| change.version);
+        let mut records = collections::BTreeMap::new();
+        let mut catalogs = collections::BTreeMap::new();
+        for change in changes {
+            let version = change.version;
+            play(&mut records, change);
+            if versions.contains(&version) {
+                let documents: Vec<record::Document> = records.values().cloned().collect();
+                catalogs.insert(version, catalog::Catalog::new(version, &documents)?);
+            }
+        }
+        Ok(catalogs)
+    }
+
     async fn head(&self) -> error::Result<(u64, record::Head)> {
         match self.platform.row(HEAD).await? {
             None => Ok((0, record::Head::default())),
@@ -202,7 +229,19 @@
 }
 
 fn change_key(version: unit::Version) -> String {
-    format!("change/{version}")
+    format!("{CHANGE_PREFIX}{version}")
+}
+
+/// Puts a change on top of the records before it.
+fn play(records: &mut collections::BTreeMap<String, record::Document>, change: record::Change) {
+    for document in change.put {
+        if let Some(id) = document.id() {
+            records.insert(id, document);
+        }
+    }
+    for id in &change.removed {
+        records.remove(id);
+    }
 }
 
 fn write<T: serde::Serialize>(key: String, value: &T) -> error::Result<platform::Write> {
@@ -222,6 +261,15 @@
 }
 
 fn read_record(row: &platform::Row) -> error::Result<(String, record::Document)> {
+    let schema = row.value.get("schema").and_then(serde_json::Value::as_u64);
+    let newest = record::Document::SCHEMA;
+    if schema.is_some_and(|schema| schema > u64::from(newest)) {
+        let reason = format!(
+            "row '{}' is of a schema newer than {newest}: use a newer `skylark`",
+            row.key
+        );
+        return Err(platform::Error::BadAnswer { reason }.into());
+    }
     let id = row.key.trim_start_matches(RECORD_PREFIX).to_owned();
     Ok((id, read(row)?))
 }
--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -1,6 +1,5 @@
 //! Tables for people.
 
-use std::io;
 use std::io::Write as _;
 
 use super::error;
@@ -22,7 +21,7 @@
                 .unwrap_or(0)
         })
         .collect();
-    let mut out = io::stdout().lock();
+    let mut out = anstream::stdout().lock();
     for row in [&heading].into_iter().chain(rows) {
         let cells = row.iter().zip(&widths);
         let line: Vec<String> = cells
@@ -32,3 +31,12 @@
     }
     Ok(())
 }
+
+/// Returns a value as people read it: text without quotes, other values as JSON.
+#[must_use]
+pub fn plain(value: &serde_json::Value) -> String {
+    match value {
+        serde_json::Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- a/tests/cli/write.rs
+++ b/tests/cli/write.rs
@@ -1,15 +1,14 @@
 //! The command line writes records once, also when operators race and answers are lost.
 
-mod cli_common;
-
-use cli_common::{Fault, Platform};
+use super::common;
+use super::common::{Fault, Platform};
 
 const HEAD: &str = "head";
 
 fn applied(deployment: &str) -> Platform {
     let platform = Platform::start();
-    let files = cli_common::example(deployment);
-    let run = platform.run(&cli_common::on_example("apply", &files));
+    let files = common::example(deployment);
+    let run = platform.run(&common::on_example("apply", &files));
     assert_eq!(run.code, Some(0), "{run:?}");
     platform
 }
@@ -29,8 +28,8 @@
             .filter(|key| key.starts_with("record/"))
             .count();
         assert_eq!(stored, records, "{deployment}");
-        let files = cli_common::example(deployment);
-        let again = platform.run(&cli_common::on_example("apply", &files));
+        let files = common::example(deployment);
+        let again = platform.run(&common::on_example("apply", &files));
         assert_eq!(again.code, Some(0), "{again:?}");
         assert_eq!(version(&platform), 1);
         assert_eq!(platform.state().commits, 1);
@@ -41,8 +40,8 @@
 fn a_lost_answer_is_read_back_and_never_written_again() {
     let platform = Platform::start();
     platform.state().fault = Fault::LoseAnswer;
-    let files = cli_common::example("board");
-    let run = platform.run(&cli_common::on_example("apply", &files));
+    let files = common::example("board");
+    let run = platform.run(&common::on_example("apply", &files));
     assert_eq!(run.code, Some(0), "{run:?}");
     assert_eq!(platform.state().commits, 1);
     assert_eq!(version(&platform), 1);
