--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,13 +4,19 @@
 //! value that can be compared, so that any decision can be run again.
 
 pub mod burn;
+pub mod block;
+pub mod budget;
 pub mod catalog;
+pub mod config;
 pub mod decision;
 pub mod error;
 pub mod instant;
 pub mod kind;
 pub mod lease;
+pub mod member;
 pub mod name;
+pub mod once;
+pub mod quarantine;
 pub mod record;
 pub mod secret;
 pub mod steer;
