--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -22,7 +22,8 @@
 }
 
 /// A question with the sign of life of the asking host.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Question {
     /// What the asker knows.
     pub ask: member::Ask,
@@ -37,7 +38,8 @@
 }
 
 /// A lease that the asker holds.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Held {
     /// Name of the lease.
     pub lease: String,
@@ -46,7 +48,8 @@
 }
 
 /// The answer to a question.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Reply {
     /// What the answering process knows.
     pub answer: member::Answer,
@@ -57,7 +60,8 @@
 }
 
 /// The entry hosts of one availability zone, as its member lists them.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Listing {
     /// The availability zone.
     pub zone: name::Zone,
@@ -73,7 +77,8 @@
 ///
 /// Records leave absent fields out, which the compact transport cannot carry,
 /// so they travel as JSON.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Records {
     /// The changes after the version asked for, in order, as JSON.
     Changes(Vec<u8>),
@@ -82,7 +87,8 @@
 }
 
 /// The answer to a request for a bar.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Barred {
     /// The member that answers.
     pub member: name::Incarnation,
