--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -20,10 +20,19 @@
 /// The row by which a host tells that it lives; fields for other readers are passed over.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
 struct Heartbeat {
-    host: control::Host,
+    host: Host,
     version: unit::Version,
 }
 
+/// What is read of a life; its addresses are not.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+struct Host {
+    host: name::Host,
+    incarnation: name::Incarnation,
+    zone: name::Zone,
+    phase: control::Phase,
+}
+
 /// One life of an entry host, as its heartbeats show it.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Life {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,9 +3,9 @@
 //! Each function that decides takes `now` and borrowed views, and returns a
 //! value that can be compared, so that any decision can be run again.
 
-pub mod burn;
 pub mod block;
 pub mod budget;
+pub mod burn;
 pub mod catalog;
 pub mod config;
 pub mod decision;
--- a/crates/core/tests/decision.rs
+++ b/crates/core/tests/decision.rs
@@ -8,6 +8,7 @@
 use skylark_core::steer;
 use skylark_core::timestamp;
 use skylark_core::unit;
+use skylark_testing as testing;
 
 const RECORDS: &str = "schema: 1
 region: {name: khulna, zones: [khu-rupsa], delay: 3ms}
@@ -134,7 +135,7 @@
 #[test]
 fn an_untouched_decision_replays_the_same_after_a_round_trip() {
     let catalog = catalog();
-    arbtest::arbtest(|u| {
+    testing::check(|u| {
         let made = honest(u)?;
         let text = serde_json::to_string(&made).expect("a record is written");
         let read: decision::Decision = serde_json::from_str(&text).expect("a record is read");
@@ -147,7 +148,7 @@
 #[test]
 fn a_changed_record_differs() {
     let catalog = catalog();
-    arbtest::arbtest(|u| {
+    testing::check(|u| {
         let made = honest(u)?;
         let mut changed = made.clone();
         match u.int_in_range(0..=4)? {
@@ -166,7 +167,7 @@
 #[test]
 fn a_record_sealed_again_after_a_change_differs() {
     let catalog = catalog();
-    arbtest::arbtest(|u| {
+    testing::check(|u| {
         let mut changed = honest(u)?;
         let Some(decision::Step::Choose { inputs, choice }) = changed.steps.first_mut() else {
             unreachable!("the first step is a choice");
@@ -190,10 +191,10 @@
 
 #[test]
 fn a_choice_of_a_drained_target_differs() {
-    let drain = "---\nschema: 1\ndrain: {name: d, subject: !target stock-1}\n";
+    let drain = "---\nschema: 1\ndrain: {name: d, subject: {target: stock-1}}\n";
     let documents = record::parse(&format!("{RECORDS}{drain}")).expect("well formed");
     let drained = catalog::Catalog::new(unit::Version::new(7), &documents).expect("they agree");
-    arbtest::arbtest(|u| {
+    testing::check(|u| {
         assert_differs(&honest(u)?, &drained);
         Ok(())
     });
@@ -203,7 +204,7 @@
 fn records_of_another_version_are_told_apart() {
     let mut other = catalog();
     other.version = unit::Version::new(8);
-    arbtest::arbtest(|u| {
+    testing::check(|u| {
         let replay = honest(u)?.replay(&other);
         assert!(matches!(replay, decision::Replay::OtherVersion { .. }));
         Ok(())
