--- a/crates/cli/src/command/diff.rs
+++ b/crates/cli/src/command/diff.rs
@@ -32,7 +32,8 @@
 }
 
 /// A record that differs.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Difference {
     record: String,
     change: Change,
@@ -40,7 +41,8 @@
 }
 
 /// Whether a record is new.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "lowercase")]
 enum Change {
     Added,
@@ -48,7 +50,8 @@
 }
 
 /// A field that differs.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Field {
     name: String,
     old: Option<serde_json::Value>,
--- a/crates/cli/src/command/key.rs
+++ b/crates/cli/src/command/key.rs
@@ -13,7 +13,8 @@
 use crate::store;
 
 /// What is printed once when a key is issued.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Issued {
     name: String,
     account: name::Account,
@@ -53,7 +54,8 @@
         version,
     };
     session.say(&issued, &sentence)?;
-    session.wait(version).await
+    let reach = session.wait(version).await?;
+    session.judge(version, reach)
 }
 
 /// Withdraws a key for good.
--- a/crates/cli/src/command/replay.rs
+++ b/crates/cli/src/command/replay.rs
@@ -12,7 +12,8 @@
 use crate::session;
 
 /// What running one decision again came to.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Replayed {
     id: String,
     version: unit::Version,
@@ -21,7 +22,8 @@
 }
 
 /// What running decisions again came to.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Report {
     replayed: usize,
     unreadable: usize,
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -1,4 +1,4 @@
-//! `skylark status`: shows which entry hosts live, and what they have in force.
+//! `skylark status`: shows which availability zones and entry hosts live.
 
 use skylark_core::record;
 use skylark_wire::control;
@@ -11,34 +11,35 @@
 use crate::table;
 
 /// What is printed for programs.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Status<'a> {
     head: &'a record::Head,
     records: usize,
-    hosts: Vec<&'a roster::Life>,
+    zones: Vec<&'a roster::Standing>,
+    hosts: &'a [roster::Life],
     drains: Vec<&'a record::Drain>,
     shifts: Vec<&'a record::Shift>,
 }
 
-/// Shows the newest version, the entry hosts, drains and shifts.
+/// Shows the newest version, the availability zones, entry hosts, drains and shifts.
 ///
 /// # Errors
 ///
 /// Fails when the platform does not answer.
 pub async fn run(session: &session::Session) -> error::Result<()> {
+    let platform = session.platform()?;
+    let watch = roster::Watch::watch(&platform, roster::SILENCE).await?;
+    let hosts = roster::hosts(&platform).await?;
     let base = session.store()?.snapshot().await?;
-    let roster = roster::Roster::watch(&session.platform()?, roster::SILENCE).await?;
     let records = || base.records.values();
     let status = Status {
         head: &base.head,
         records: base.records.len(),
-        hosts: roster.lives().collect(),
-        drains: records()
-            .filter_map(|record| record.drain.as_ref())
-            .collect(),
-        shifts: records()
-            .filter_map(|record| record.shift.as_ref())
-            .collect(),
+        zones: watch.zones().collect(),
+        hosts: &hosts,
+        drains: records().filter_map(|r| r.drain.as_ref()).collect(),
+        shifts: records().filter_map(|r| r.shift.as_ref()).collect(),
     };
     if session.format() == session::Format::Programs {
         return session.say(&status, "");
@@ -51,18 +52,19 @@
     base: &store::Snapshot,
     status: &Status<'_>,
 ) -> error::Result<()> {
-    let version = base.head.version;
-    let sentence = format!("version {version}, {} records", status.records);
-    session.say(&(), &sentence)?;
-    let rows: Vec<Vec<String>> = status.hosts.iter().map(|life| row(base, life)).collect();
-    table::print(&["host", "zone", "version", "state", "incarnation"], &rows)?;
+    let line = format!("version {}, {} records", base.head.version, status.records);
+    session.say(&(), &line)?;
+    let zones: Vec<Vec<String>> = status.zones.iter().map(|z| zone_row(base, z)).collect();
+    table::print(&["zone", "version", "state", "member"], &zones)?;
+    let hosts: Vec<Vec<String>> = status.hosts.iter().map(host_row).collect();
+    table::print(&["host", "zone", "phase", "incarnation"], &hosts)?;
     for drain in &status.drains {
-        let subject = match &drain.subject {
-            record::Subject::Target(name) => format!("target {name}"),
-            record::Subject::Zone(name) => format!("zone {name}"),
-            record::Subject::Host(name) => format!("host {name}"),
+        let (kind, name) = match &drain.subject {
+            record::Subject::Target(name) => ("target", name.as_str()),
+            record::Subject::Zone(name) => ("zone", name.as_str()),
+            record::Subject::Host(name) => ("host", name.as_str()),
         };
-        session.say(&(), &format!("drained: {subject}"))?;
+        session.say(&(), &format!("drained: {kind} {name}"))?;
     }
     for shift in &status.shifts {
         let record::Shift {
@@ -79,21 +81,31 @@
     Ok(())
 }
 
-fn row(base: &store::Snapshot, life: &roster::Life) -> Vec<String> {
-    let (style, state) = if !life.is_heard {
+fn zone_row(base: &store::Snapshot, zone: &roster::Standing) -> Vec<String> {
+    let (style, state) = if !zone.is_heard {
         (print::BAD, "silent")
-    } else if life.phase == control::Phase::Leaving {
-        (print::WARN, "leaving")
-    } else if life.version < base.head.version {
+    } else if zone.version < base.head.version {
         (print::WARN, "behind")
     } else {
-        (print::GOOD, "serving")
+        (print::GOOD, "in force")
     };
     vec![
-        life.host.to_string(),
-        life.zone.to_string(),
-        life.version.to_string(),
-        print::styled(style, state),
-        life.incarnation.to_string(),
+        zone.zone.clone(),
+        zone.version.to_string(),
+        print::styled(style, &format!("{state:<8}")),
+        zone.member.to_string(),
+    ]
+}
+
+fn host_row(host: &roster::Life) -> Vec<String> {
+    let phase = match host.phase {
+        control::Phase::Serving => "serving",
+        control::Phase::Leaving => "leaving",
+    };
+    vec![
+        host.host.to_string(),
+        host.zone.to_string(),
+        phase.to_owned(),
+        host.incarnation.to_string(),
     ]
 }
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -61,13 +61,27 @@
         Ok(store::Store::new(self.platform()?))
     }
 
-    /// Waits until a version is in force on every entry host that is heard.
+    /// Waits until a version is in force in every zone that is heard, and tells how far it came.
     ///
     /// # Errors
     ///
-    /// Fails when the version is not in force everywhere in time.
-    pub async fn wait(&self, version: unit::Version) -> error::Result<()> {
-        roster::wait(&self.platform()?, version, self.wait).await
+    /// Fails when no address of the platform was given.
+    pub async fn wait(&self, version: unit::Version) -> error::Result<roster::Reach> {
+        Ok(roster::wait(&self.platform()?, version, self.wait).await)
+    }
+
+    /// Judges how far a version came, unless no wait was asked for.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the version is not in force everywhere.
+    pub const fn judge(&self, version: unit::Version, reach: roster::Reach) -> error::Result<()> {
+        match reach {
+            _ if self.wait.is_zero() => Ok(()),
+            roster::Reach::Written => Err(error::Error::Unaccepted(version)),
+            roster::Reach::Accepted => Err(error::Error::Pending(version)),
+            roster::Reach::InForce => Ok(()),
+        }
     }
 
     /// Prints a value as JSON, or a sentence for people.
--- a/crates/core/src/burn/count.rs
+++ b/crates/core/src/burn/count.rs
@@ -3,7 +3,8 @@
 use super::judgement;
 
 /// Requests by judgement.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Count {
     /// Answered in time.
     pub good: u64,
--- a/crates/core/src/burn/judgement.rs
+++ b/crates/core/src/burn/judgement.rs
@@ -9,9 +9,8 @@
 const FIRST_SERVER_ERROR: u16 = 500;
 
 /// How one request counts towards its service's objective.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Judgement {
     /// Answered, in time.
--- a/crates/core/src/burn/latency.rs
+++ b/crates/core/src/burn/latency.rs
@@ -1,7 +1,8 @@
 //! Percentiles of latency.
 
 /// Percentiles of the latency of answered requests, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Latency {
     /// Half of the answers came within this time.
     #[serde(rename = "p50_us")]
--- a/crates/core/src/burn/report.rs
+++ b/crates/core/src/burn/report.rs
@@ -21,7 +21,8 @@
 const STEPS: u64 = 60;
 
 /// Lengths of the windows over which burn rates are reckoned, up to now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Windows {
     /// The short window, which shows what happens now.
     pub short: unit::Span,
@@ -30,7 +31,8 @@
 }
 
 /// How fast error budgets burn, the worst-served client account first.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Report {
     /// Arrival of the first request.
     pub from: timestamp::Timestamp,
--- a/crates/core/src/burn/row.rs
+++ b/crates/core/src/burn/row.rs
@@ -7,7 +7,8 @@
 use super::latency;
 
 /// What one client account got of one service.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Row {
     /// The service.
     pub service: name::Service,
--- a/crates/core/src/burn/series.rs
+++ b/crates/core/src/burn/series.rs
@@ -4,7 +4,8 @@
 use crate::timestamp;
 
 /// Burn rate of a service in equal steps of time.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Series {
     /// The service.
     pub service: name::Service,
@@ -13,7 +14,8 @@
 }
 
 /// Burn rate over one step of time.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Point {
     /// Start of the step.
     pub at: timestamp::Timestamp,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod header;
 pub mod home;
 pub mod http;
+pub mod peer;
 pub mod platform;
 pub mod problem;
 pub mod rpc;
