--- a/crates/cli/src/command/key.rs
+++ b/crates/cli/src/command/key.rs
@@ -54,7 +54,8 @@
         version,
     };
     session.say(&issued, &sentence)?;
-    session.wait(version).await
+    let reach = session.wait(version).await?;
+    session.judge(version, reach)
 }
 
 /// Withdraws a key for good.
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -16,6 +16,7 @@
 
 use super::error;
 use super::options;
+use super::roster;
 use super::session;
 use super::store;
 
@@ -54,9 +55,11 @@
     put: usize,
     /// Records that were removed.
     removed: usize,
+    /// How far the change has come.
+    reach: roster::Reach,
 }
 
-/// Commits an edit, says what was accepted, and waits until it is in force everywhere.
+/// Commits an edit, waits until it is in force everywhere, and says how far it came.
 ///
 /// # Errors
 ///
@@ -68,22 +71,28 @@
     what: &str,
 ) -> error::Result<()> {
     let (put, removed) = (edit.put.len(), edit.removed.len());
-    if edit.is_empty() {
-        let version = base.head.version;
-        let sentence = format!("nothing to change: version {version} has it so ({what})");
-        let accepted = Accepted {
-            version,
-            put,
-            removed,
-        };
-        return session.say(&accepted, &sentence);
-    }
-    let version = session.store()?.commit(base, edit).await?;
+    let version = if edit.is_empty() {
+        base.head.version
+    } else {
+        session.store()?.commit(base, edit).await?
+    };
+    let reach = session.wait(version).await?;
     let accepted = Accepted {
         version,
         put,
         removed,
+        reach,
+    };
+    let state = match reach {
+        roster::Reach::Written => "written",
+        roster::Reach::Accepted => "accepted",
+        roster::Reach::InForce => "in force",
+    };
+    let sentence = if put + removed == 0 {
+        format!("nothing to change, version {version} is {state}: {what}")
+    } else {
+        format!("version {version} is {state}: {what}")
     };
-    session.say(&accepted, &format!("version {version} is accepted: {what}"))?;
-    session.wait(version).await
+    session.say(&accepted, &sentence)?;
+    session.judge(version, reach)
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -57,14 +57,15 @@
     /// Nothing has the name that was asked for.
     #[error("{0}")]
     Absent(String),
+    /// A change is written and not accepted yet.
+    #[error(
+        "version {0} is written and not yet accepted: too few availability zones are known \
+         to have it in force (look with `skylark status`)"
+    )]
+    Unaccepted(unit::Version),
     /// A change is accepted and not in force everywhere yet.
-    #[error("version {version} is accepted and not yet in force on {}", .hosts.join(", "))]
-    Pending {
-        /// The accepted version.
-        version: unit::Version,
-        /// Entry hosts on which it is not in force.
-        hosts: Vec<String>,
-    },
+    #[error("version {0} is accepted and not yet in force everywhere (look with `skylark status`)")]
+    Pending(unit::Version),
     /// The output cannot be written.
     #[error("the output cannot be written: {0}")]
     Output(#[from] std::io::Error),
@@ -111,7 +112,7 @@
             Self::Platform(_) => 5,
             Self::Unknown { .. } => 6,
             Self::Absent(_) => 7,
-            Self::Pending { .. } => 8,
+            Self::Unaccepted(_) | Self::Pending(_) => 8,
             Self::Output(_) | Self::Json(_) | Self::Yaml(_) | Self::Plot(_) | Self::Random(_) => 9,
         }
     }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -18,7 +18,7 @@
         optional --platform url: String
         /// Print JSON for programs
         optional --json
-        /// Longest wait until a change is in force on every entry host, such as 30s; 0s waits not
+        /// Longest wait until a change is in force everywhere, such as 30s; 0s waits not
         optional --wait span: Span
         /// Print the version
         optional -V, --version
--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -1,8 +1,9 @@
-//! Entry hosts as their heartbeats in the table show them.
+//! Availability zones and entry hosts as the table shows them.
 
 use std::collections;
 use std::time;
 
+use skylark_core::member;
 use skylark_core::name;
 use skylark_core::unit;
 use skylark_wire::control;
@@ -11,21 +12,31 @@
 use super::error;
 use super::print;
 
-const PREFIX: &str = "host/";
+const ZONE_PREFIX: &str = "zone/";
+const HOSTS_PREFIX: &str = "hosts/";
 const PAUSE: time::Duration = time::Duration::from_millis(200);
 
-/// Time without a heartbeat after which a host counts as silent.
+/// Time without a heartbeat after which an availability zone counts as silent.
 pub const SILENCE: time::Duration = time::Duration::from_secs(7);
 
-/// The row by which a host tells that it lives; fields for other readers are passed over.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
-struct Heartbeat {
-    host: control::Host,
-    version: unit::Version,
+/// The row by which a zone's member tells that it lives; other fields are passed over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
+struct Beat {
+    report: member::Report,
+    oldest: unit::Version,
+}
+
+/// The row that lists a zone's entry hosts; other fields are passed over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
+struct Listing {
+    hosts: Vec<Life>,
 }
 
-/// One life of an entry host, as its heartbeats show it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+/// One life of an entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Life {
     /// Name of the entry host.
     pub host: name::Host,
@@ -33,57 +44,85 @@
     pub zone: name::Zone,
     /// Name of this life of its entry process.
     pub incarnation: name::Incarnation,
-    /// Version of the records that it has in force.
-    pub version: unit::Version,
     /// Whether the host takes new work.
     pub phase: control::Phase,
+}
+
+/// An availability zone, as its member's heartbeats show it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+pub struct Standing {
+    /// Name of the availability zone.
+    pub zone: String,
+    /// The life that vouches for the zone.
+    pub member: name::Incarnation,
+    /// Oldest version that an entry host of the zone has in force.
+    pub version: unit::Version,
     /// Whether a heartbeat came while it was watched.
     pub is_heard: bool,
     #[serde(skip)]
     row: u64,
 }
 
-/// The lives of entry hosts, watched for some time.
+/// How far a change has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reach {
+    /// The change is written; too few zones are known to have it in force.
+    Written,
+    /// The change is accepted: it can no longer be missed by a zone that vouches.
+    Accepted,
+    /// The change is in force in every zone that is heard.
+    InForce,
+}
+
+/// Availability zones, watched for some time.
 #[derive(Clone, Debug, Default)]
-pub struct Roster {
-    lives: collections::BTreeMap<String, Life>,
+pub struct Watch {
+    zones: collections::BTreeMap<String, Standing>,
+    reports: Vec<member::Report>,
+    roster: member::Roster,
 }
 
-impl Roster {
-    /// Returns the lives of entry hosts by name.
-    pub fn lives(&self) -> impl Iterator<Item = &Life> {
-        self.lives.values()
+impl Watch {
+    /// Returns the availability zones in order of name.
+    pub fn zones(&self) -> impl Iterator<Item = &Standing> {
+        self.zones.values()
     }
 
-    /// Reads the heartbeats once more.
+    /// Reads the heartbeats, and then the roster, once more.
     ///
     /// # Errors
     ///
     /// Fails when the platform does not answer.
     pub async fn look<P: platform::Platform>(&mut self, platform: &P) -> error::Result<()> {
-        let rows = platform.rows(PREFIX).await?;
-        let known = std::mem::take(&mut self.lives);
+        let rows = platform.rows(ZONE_PREFIX).await?;
+        let roster = platform.row(member::ROSTER_KEY).await?;
+        let known = std::mem::take(&mut self.zones);
+        self.reports.clear();
         for row in rows {
-            let Ok(beat) = serde_json::from_value::<Heartbeat>(row.value) else {
+            let Ok(beat) = serde_json::from_value::<Beat>(row.value) else {
                 continue;
             };
             let before = known.get(&row.key);
-            let is_heard = before.is_some_and(|life| life.is_heard || life.row < row.version);
-            let life = Life {
-                host: beat.host.host,
-                zone: beat.host.zone,
-                incarnation: beat.host.incarnation,
-                version: beat.version,
-                phase: beat.host.phase,
+            let is_heard = before.is_some_and(|zone| zone.is_heard || zone.row < row.version);
+            let zone = Standing {
+                zone: row.key.trim_start_matches(ZONE_PREFIX).to_owned(),
+                member: beat.report.incarnation.clone(),
+                version: beat.oldest,
                 is_heard,
                 row: row.version,
             };
-            self.lives.insert(row.key, life);
+            self.zones.insert(row.key, zone);
+            self.reports.push(beat.report);
         }
+        let roster = roster.map(|row| serde_json::from_value(row.value));
+        self.roster = roster.transpose()?.unwrap_or_default();
         Ok(())
     }
 
-    /// Watches until each life was heard, or for `limit`.
+    /// Watches until each zone was heard, or for `limit`.
     ///
     /// # Errors
     ///
@@ -93,87 +132,99 @@
         limit: time::Duration,
     ) -> error::Result<Self> {
         let start = time::Instant::now();
-        let mut roster = Self::default();
+        let mut watch = Self::default();
         loop {
-            roster.look(platform).await?;
-            let is_done = roster.lives().all(|life| life.is_heard);
+            watch.look(platform).await?;
+            let is_done = watch.zones().all(|zone| zone.is_heard);
             if is_done || start.elapsed() >= limit {
-                return Ok(roster);
+                return Ok(watch);
             }
             tokio::time::sleep(PAUSE).await;
         }
     }
 
-    /// Returns the lives that do not have a version in force.
-    fn behind(&self, version: unit::Version) -> Vec<&Life> {
-        self.lives().filter(|life| life.version < version).collect()
+    /// Before the first host there is no roster, and every host starts from the newest version.
+    fn is_accepted(&self, version: unit::Version) -> bool {
+        let is_unmanned = self.roster.members.is_empty() && self.roster.is_settled();
+        is_unmanned || self.roster.is_accepted(version, &self.reports)
+    }
+
+    /// Returns the zones that do not have a version in force.
+    fn behind(&self, version: unit::Version) -> Vec<&Standing> {
+        let zones = self.zones();
+        zones.filter(|zone| zone.version < version).collect()
     }
 }
 
-/// Waits until a version is in force on every entry host that is heard.
+/// Reads the entry hosts that the zones list.
 ///
 /// # Errors
 ///
-/// Fails when a host that is heard does not have the version in force within `limit`.
+/// Fails when the platform does not answer.
+pub async fn hosts<P: platform::Platform>(platform: &P) -> error::Result<Vec<Life>> {
+    let rows = platform.rows(HOSTS_PREFIX).await?;
+    let listings = rows
+        .into_iter()
+        .filter_map(|row| serde_json::from_value::<Listing>(row.value).ok());
+    Ok(listings.flat_map(|listing| listing.hosts).collect())
+}
+
+/// Waits until a version is in force in every zone that is heard, and tells how far it came.
+///
+/// The change is written already, so a failed look does not end the wait.
 pub async fn wait<P: platform::Platform>(
     platform: &P,
     version: unit::Version,
     limit: time::Duration,
-) -> error::Result<()> {
-    if limit.is_zero() {
-        return Ok(());
-    }
+) -> Reach {
     let start = time::Instant::now();
-    let mut roster = Roster::default();
+    let mut watch = Watch::default();
     let mut shown = None;
     loop {
-        // The change is accepted already: a failed look does not fail the command.
-        let _unread = roster.look(platform).await;
-        let behind = roster.behind(version);
+        let is_read = watch.look(platform).await.is_ok();
+        let is_accepted = is_read && watch.is_accepted(version);
+        let behind = watch.behind(version);
         let is_silent = start.elapsed() >= SILENCE;
-        let waited_for: Vec<&&Life> = behind
-            .iter()
-            .filter(|life| life.is_heard || !is_silent)
-            .collect();
-        if waited_for.is_empty() {
+        let is_everywhere = behind.iter().all(|zone| is_silent && !zone.is_heard);
+        let reach = match (is_accepted, is_everywhere) {
+            (false, _) => Reach::Written,
+            (true, false) => Reach::Accepted,
+            (true, true) => Reach::InForce,
+        };
+        if reach == Reach::InForce || start.elapsed() >= limit {
             warn(&behind);
-            return Ok(());
+            return reach;
         }
-        if start.elapsed() >= limit {
-            warn(&behind);
-            let hosts = waited_for.iter().map(|life| place(life)).collect();
-            return Err(error::Error::Pending { version, hosts });
-        }
-        if shown != Some(behind.len()) {
+        if is_read && shown != Some(behind.len()) {
             shown = Some(behind.len());
-            progress(&roster, version, &behind);
+            progress(&watch, version, &behind);
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-fn progress(roster: &Roster, version: unit::Version, behind: &[&Life]) {
-    let all = roster.lives().count();
-    let places: Vec<String> = behind.iter().map(|life| place(life)).collect();
+fn progress(watch: &Watch, version: unit::Version, behind: &[&Standing]) {
+    let all = watch.zones().count();
+    let names: Vec<&str> = behind.iter().map(|zone| zone.zone.as_str()).collect();
+    let rest = if names.is_empty() {
+        String::new()
+    } else {
+        format!(", not yet in {}", names.join(", "))
+    };
     print::progress(&format!(
-        "version {version} is in force on {} of {all} entry hosts, not yet on {}",
-        all - behind.len(),
-        places.join(", ")
+        "version {version} is in force in {} of {all} availability zones{rest}",
+        all - behind.len()
     ));
 }
 
-/// Names hosts that are silent; cut off, they refuse keyed routes once their records are stale.
-fn warn(behind: &[&Life]) {
-    for life in behind.iter().filter(|life| !life.is_heard) {
-        let label = print::styled(print::WARN, "silent:");
+/// Names zones without the version; cut off, they refuse keyed routes once their records are stale.
+fn warn(behind: &[&Standing]) {
+    for zone in behind {
+        let word = if zone.is_heard { "behind:" } else { "silent:" };
+        let label = print::styled(print::WARN, word);
         print::progress(&format!(
-            "{label} {} was not heard while waiting, and last had version {} in force",
-            place(life),
-            life.version
+            "{label} availability zone {} last had version {} in force",
+            zone.zone, zone.version
         ));
     }
 }
-
-fn place(life: &Life) -> String {
-    format!("{} ({})", life.host, life.zone)
-}
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use skylark_core::catalog;
+use skylark_core::config;
 use skylark_core::record;
 use skylark_core::unit;
 use skylark_wire::platform;
@@ -123,13 +124,14 @@
             version: base.head.version.next(),
             write: random::write_id()?,
         };
+        let write = config::Write::new(&head.write, base.head.version);
         let commit = form(base.row, &head, edit)?;
         match self.platform.commit(&commit).await {
             Ok(()) => Ok(head.version),
             Err(platform::Error::NoAnswer { reason } | platform::Error::BadAnswer { reason }) => {
-                self.read_back(&head, &reason).await
+                self.read_back(&write, &reason).await
             }
-            Err(platform::Error::Conflict { .. }) => self.read_back_conflict(&head).await,
+            Err(platform::Error::Conflict { .. }) => self.read_back_conflict(&write).await,
             Err(other) => Err(other.into()),
         }
     }
@@ -168,32 +170,32 @@
     }
 
     /// Learns from the change's row whether a write without an answer took effect.
-    async fn read_back(&self, head: &record::Head, reason: &str) -> error::Result<unit::Version> {
+    async fn read_back(&self, write: &config::Write, reason: &str) -> error::Result<unit::Version> {
         for _ in 0..READ_BACK_TRIES {
-            match self.writer(head.version).await {
-                Ok(Some(write)) if write == head.write => return Ok(head.version),
-                Ok(Some(_other)) => return Err(error::Error::Conflict),
-                Ok(None) | Err(_) => tokio::time::sleep(READ_BACK_PAUSE).await,
+            match self.fate(write).await {
+                Ok(config::Fate::Applied(version)) => return Ok(version),
+                Ok(config::Fate::Lost) => return Err(error::Error::Conflict),
+                Ok(config::Fate::Unknown) | Err(_) => tokio::time::sleep(READ_BACK_PAUSE).await,
             }
         }
         Err(error::Error::Unknown {
-            version: head.version,
+            version: write.version(),
             reason: reason.to_owned(),
         })
     }
 
     /// Tells a lost race from a write that was delivered twice.
-    async fn read_back_conflict(&self, head: &record::Head) -> error::Result<unit::Version> {
-        match self.writer(head.version).await? {
-            Some(write) if write == head.write => Ok(head.version),
-            _ => Err(error::Error::Conflict),
+    async fn read_back_conflict(&self, write: &config::Write) -> error::Result<unit::Version> {
+        match self.fate(write).await? {
+            config::Fate::Applied(version) => Ok(version),
+            config::Fate::Lost | config::Fate::Unknown => Err(error::Error::Conflict),
         }
     }
 
-    async fn writer(&self, version: unit::Version) -> error::Result<Option<String>> {
-        let row = self.platform.row(&change_key(version)).await?;
+    async fn fate(&self, write: &config::Write) -> error::Result<config::Fate> {
+        let row = self.platform.row(&change_key(write.version())).await?;
         let change: Option<record::Change> = row.as_ref().map(read).transpose()?;
-        Ok(change.map(|change| change.write))
+        Ok(write.fate(change.as_ref()))
     }
 }
 
