Test each mechanism of the divided budgets alone

Each was switched off in turn and seen to fail, then put back. Caught by the focused tests only: an owner outside its tenure, life measured from the answer, excess loans extended, a frozen holder that keeps its slots, slots that start full, tokens in passing not counted, lives not shortened or lengthened for drift, a second claim after a lost answer. Nothing failed with the owner's check of an ask's epoch off: the tenure and the holder's own check already cover it.

--- a/crates/core/tests/budget_parts.rs
+++ b/crates/core/tests/budget_parts.rs
@@ -179,6 +179,46 @@
     assert!(!is_admitted(&mut holder, &[0], at(9_000)));
 }
 
+#[test]
+fn fresh_slots_start_without_tokens() {
+    let mut holder = holder("one");
+    holder.set(0, whole(10, 10), at(0));
+    holder.fund(budget::Share::WHOLE, at(4_000));
+    assert_eq!(count(&mut holder, 0, at(4_000)), 0);
+}
+
+#[test]
+fn tokens_on_their_way_to_the_owner_count_against_the_slots_burst() {
+    let mut holder = holder("one");
+    holder.set(0, whole(100, 40), at(0));
+    holder.fund(budget::Share::WHOLE, at(0));
+    let ask = holder.poll(at(100)).expect("ask");
+    let hello = budget::Answer {
+        epoch: 1,
+        seq: ask.seq,
+        grants: Vec::new(),
+        needy: Vec::new(),
+    };
+    holder.bank(&hello, at(101));
+    let ask = holder.poll(at(1_000)).expect("ask");
+    let needy = budget::Answer {
+        seq: ask.seq,
+        needy: vec![0],
+        ..hello
+    };
+    holder.bank(&needy, at(1_001));
+    let mut freed = budget::Amount::ZERO;
+    for millis in (1_300..4_000).step_by(300) {
+        let ask = holder.poll(at(millis)).expect("ask");
+        let reports = ask.reports.iter().map(|report| report.freed);
+        freed = reports.fold(freed, budget::Amount::max);
+    }
+    assert!(freed >= budget::Amount::from_tokens(5), "{freed}");
+    let left = u64::try_from(count(&mut holder, 0, at(4_000))).expect("small");
+    let sum = freed.saturating_add(budget::Amount::from_tokens(left));
+    assert!(sum <= budget::Amount::from_tokens(40), "{freed} and {left}");
+}
+
 #[test]
 fn parts_under_two_versions_stay_within_the_larger() {
     for number in 0..SCHEDULES {
