--- a/crates/core/src/record/document.rs
+++ b/crates/core/src/record/document.rs
@@ -1,7 +1,8 @@
 //! One document of records.
 
 /// A record with its schema version; exactly one kind is present.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// Schema version of the record.
@@ -36,8 +37,31 @@
 }
 
 impl Document {
-    /// The newest schema version that this build writes.
-    pub const SCHEMA: u32 = 1;
+    /// The oldest schema version that this build reads.
+    pub const OLDEST: u32 = 1;
+    /// The newest schema version that this build reads.
+    pub const SCHEMA: u32 = 2;
+    /// The kinds of records.
+    pub const KINDS: [&'static str; 9] = [
+        "account", "key", "region", "link", "service", "target", "shift", "drain", "policy",
+    ];
+
+    /// Creates a document that holds no record yet, of the oldest schema, which every build reads.
+    #[must_use]
+    pub const fn empty() -> Self {
+        Self {
+            schema: Self::OLDEST,
+            account: None,
+            key: None,
+            region: None,
+            link: None,
+            service: None,
+            target: None,
+            shift: None,
+            drain: None,
+            policy: None,
+        }
+    }
 
     /// Returns the record's identity, `kind/name`, or nothing unless exactly one kind is present.
     #[must_use]
--- /dev/null
+++ b/crates/entry/src/forward.rs
@@ -0,0 +1,162 @@
+//! One exchange with a target.
+
+use http_body_util::BodyExt as _;
+use hyper::header;
+use skylark_core::name;
+use skylark_core::record;
+use skylark_runtime::clock;
+use skylark_wire::header as names;
+
+use super::answer;
+use super::exchange;
+use super::pool;
+
+/// Why an exchange gave no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The target did not start the request: another may.
+    NotStarted,
+    /// The connection broke after the request may have been started.
+    Broken,
+    /// The target's answer cannot be trusted to be whole and the request's own.
+    Unknown,
+    /// The time ran out after the request may have been started.
+    TimedOut,
+}
+
+/// Result of one exchange.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// Sends the request to one target and waits for its whole answer.
+///
+/// # Errors
+///
+/// Fails with what is known of a start when no whole answer arrives in time.
+pub async fn send(
+    pool: &pool::Pool,
+    target: &record::Target,
+    request: &exchange::Request,
+    account: Option<&name::Account>,
+    clock: &clock::Clock,
+) -> Result<exchange::Answer> {
+    let left = request.left(clock.now());
+    let connecting = tokio::time::timeout(left, pool.take(target.address)).await;
+    let Ok(Ok(sender)) = connecting else {
+        return Err(Failure::NotStarted);
+    };
+    let outgoing = outgoing(target, request, account);
+    let left = request.left(clock.now());
+    if left.is_zero() {
+        return Err(Failure::NotStarted);
+    }
+    match tokio::time::timeout(left, run(pool, target, request, sender, outgoing)).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err(Failure::TimedOut),
+    }
+}
+
+async fn run(
+    pool: &pool::Pool,
+    target: &record::Target,
+    request: &exchange::Request,
+    mut sender: pool::Sender,
+    outgoing: hyper::Request<pool::Body>,
+) -> Result<exchange::Answer> {
+    let response = match sender.send(outgoing).await {
+        Ok(response) => response,
+        Err(mut error) => return Err(failure(error.take_message().is_some())),
+    };
+    let (head, body) = response.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map_err(|_error| Failure::Broken)?
+        .to_bytes();
+    if is_crossed(&head.headers, &request.id) || !is_delimited(&head) {
+        return Err(Failure::Unknown);
+    }
+    pool.give(target.address, sender);
+    if head.headers.contains_key(names::NOT_STARTED) {
+        return Err(Failure::NotStarted);
+    }
+    let name = target.name.clone();
+    Ok(exchange::Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+        target: name,
+    })
+}
+
+/// Returns what a failed send says of a start: an unsent request cannot have started.
+const fn failure(is_unsent: bool) -> Failure {
+    if is_unsent {
+        Failure::NotStarted
+    } else {
+        Failure::Broken
+    }
+}
+
+/// Returns whether the end of an answer's body shows that the body is whole.
+fn is_delimited(head: &hyper::http::response::Parts) -> bool {
+    let is_bodiless = matches!(head.status.as_u16(), 204 | 304);
+    let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
+    is_bodiless || has_length || head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Returns whether an answer states that it belongs to another request.
+fn is_crossed(headers: &hyper::HeaderMap, id: &str) -> bool {
+    headers
+        .get(names::REQUEST_ID)
+        .is_some_and(|value| value.as_bytes() != id.as_bytes())
+}
+
+fn outgoing(
+    target: &record::Target,
+    request: &exchange::Request,
+    account: Option<&name::Account>,
+) -> hyper::Request<pool::Body> {
+    let mut outgoing = hyper::Request::new(pool::Body::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = origin_form(&request.target);
+    let headers = outgoing.headers_mut();
+    for (name, value) in &request.headers {
+        if is_forwarded(name) {
+            headers.append(name, value.clone());
+        }
+    }
+    set(headers, header::HOST, &target.address.to_string());
+    set(
+        headers,
+        header::HeaderName::from_static(names::REQUEST_ID),
+        &request.id,
+    );
+    if let Some(account) = account {
+        set(
+            headers,
+            header::HeaderName::from_static(names::ACCOUNT),
+            account.as_str(),
+        );
+    }
+    outgoing
+}
+
+/// Returns the path and query alone, as a request to an origin has them.
+fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(hyper::Uri::default, hyper::Uri::from)
+}
+
+/// Returns whether a target may see a header: never one that can hold the caller's key.
+pub fn is_forwarded(name: &header::HeaderName) -> bool {
+    let is_secret = *name == header::AUTHORIZATION || *name == header::COOKIE;
+    let is_ours = [names::ACCOUNT, names::REQUEST_ID].contains(&name.as_str());
+    let is_length = *name == header::CONTENT_LENGTH || *name == header::HOST;
+    !is_secret && !is_ours && !is_length && !answer::is_hop(name)
+}
+
+fn set(headers: &mut hyper::HeaderMap, name: header::HeaderName, value: &str) {
+    if let Ok(value) = header::HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,9 @@
 
 pub mod control;
 pub mod header;
+pub mod home;
 pub mod http;
+pub mod peer;
 pub mod platform;
 pub mod problem;
+pub mod rpc;
