--- a/crates/entry/src/once/copy.rs
+++ b/crates/entry/src/once/copy.rs
@@ -13,6 +13,7 @@
 
 const FLUSH_PERIOD: time::Duration = time::Duration::from_millis(500);
 const RECALL_LIMIT: time::Duration = time::Duration::from_secs(1);
+const END_LIMIT: time::Duration = time::Duration::from_secs(3);
 const END_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// Copies outcomes from time to time until the task is dropped.
@@ -51,7 +52,20 @@
 /// Ends the copy of a ledger that lets nothing start, once what runs has ended or `limit` is over.
 pub async fn end(state: &state::State, limit: time::Duration) {
     let begun = time::Instant::now();
-    while begun.elapsed() < limit {
+    while state.book.running() > 0 && begun.elapsed() < limit {
+        tokio::time::sleep(END_PAUSE).await;
+    }
+    if tokio::time::timeout(END_LIMIT, mark_end(state))
+        .await
+        .is_err()
+    {
+        log::warn!(running = state.book.running(); "the copy of the ledger has no end");
+    }
+}
+
+/// Copies what waits and writes the end mark, until the platform has taken both.
+async fn mark_end(state: &state::State) {
+    loop {
         flush(state).await;
         if let Some(end) = state.book.end() {
             let body = serde_json::to_vec(&end).unwrap_or_default();
@@ -62,7 +76,6 @@
         }
         tokio::time::sleep(END_PAUSE).await;
     }
-    log::warn!(running = state.book.running(); "the copy of the ledger has no end");
 }
 
 /// Tells what became of a key from the copy of its home's ledger, if that can be read in time.
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -74,6 +74,7 @@
 $common
 listen: $ip:8000
 control: $ip:8001
+home: $ip:8005
 admin: $ip:8010
 platform: $SKYLARK_PLATFORM
 YAML
@@ -85,7 +86,7 @@
 YAML
   cat >"$work/steer-$number.yaml" <<YAML
 $common
-ports: {entry: '$ip:8000', control: '$ip:8001', lookup: '$ip:8002', steer: '$ip:8003'}
+ports: {entry: '$ip:8000', control: '$ip:8001', home: '$ip:8005', lookup: '$ip:8002', steer: '$ip:8003'}
 lookup_control: $ip:8004
 admin: $ip:8012
 platform: $SKYLARK_PLATFORM
