Prove outages, cuts, restarts and a killed holder with real processes

Nine tests over real processes with relays that a test can cut. One found a fault of the claimant: bars that were complete before the roster changed neither counted nor were asked for again, so a killed holder's lease was never taken. They count now: they bind the holder under the generation in which it last wrote, which is not newer.

--- a/crates/core/src/lease/seat.rs
+++ b/crates/core/src/lease/seat.rs
@@ -258,8 +258,7 @@
 
     fn claim(&self, seen: &Seen, roster: &member::Roster, now: instant::Instant) -> Action {
         let wait = config::lengthen(self.terms.length);
-        let is_barred = self.generation == roster.generation
-            && self.barred.is_some_and(|at| now.since(at) >= wait);
+        let is_barred = self.barred.is_some_and(|at| now.since(at) >= wait);
         if is_barred && now.since(self.since) >= wait {
             return self.take(seen, roster);
         }
--- a/crates/core/tests/member_model.rs
+++ b/crates/core/tests/member_model.rs
@@ -857,3 +857,22 @@
         }
     }
 }
+
+#[test]
+fn a_dead_holder_is_followed_by_another_although_the_roster_changes_meanwhile() {
+    for seed in 0..LIVENESS_SEEDS {
+        let mut world = World::settled(seed);
+        let holder = world.holder().expect("someone holds the lease");
+        if world.hosts.len() < 2 {
+            continue;
+        }
+        world.hosts[holder].frozen_until = u64::MAX;
+        world.calm(LENGTH * 6);
+        let frozen = world.hosts.remove(holder);
+        assert!(world.holder().is_some(), "seed {seed}");
+        assert!(
+            !frozen.seat.tenure().is_held(frozen.local(world.now)),
+            "seed {seed}"
+        );
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of the helper")]
 
+mod relay;
+
+use std::collections;
 use std::fmt::Write as _;
 use std::fs;
 use std::net;
@@ -18,6 +21,7 @@
 const HOME_PORT: u16 = 8005;
 const LOOKUP_PORT: u16 = 8002;
 const STEER_PORT: u16 = 8003;
+const PEER_PORT: u16 = 8006;
 const LOOKUP_CONTROL_PORT: u16 = 8004;
 const ADMIN_PORT: u16 = 8010;
 const TARGET_PORT: u16 = 9000;
@@ -49,6 +53,13 @@
     pub http: http::Client,
     network: Network,
     folder: tempfile::TempDir,
+    links: collections::BTreeMap<u8, Links>,
+}
+
+/// Links of an entry host's control process and platform calls, which a test can cut.
+struct Links {
+    platform: relay::Relay,
+    peers: relay::Relay,
 }
 
 /// The daemons of one entry host.
@@ -65,6 +76,8 @@
     pub lookup: process::Child,
     /// The control process.
     pub steer: process::Child,
+    /// Settings of the control process.
+    pub steer_settings: path::PathBuf,
 }
 
 /// A block of loopback addresses that no other test uses meanwhile.
@@ -96,6 +109,17 @@
     }
 }
 
+impl Links {
+    fn start(network: &Network, index: u8) -> Self {
+        let address = |last: u8, port: u16| net::SocketAddr::from((network.ip(last), port));
+        let host = FIRST_HOST + index;
+        Self {
+            platform: relay::Relay::start(address(host, PLATFORM_PORT), address(2, PLATFORM_PORT)),
+            peers: relay::Relay::start(address(host, PEER_PORT), address(host, STEER_PORT)),
+        }
+    }
+}
+
 impl Host {
     /// Returns the address of callers' requests.
     pub fn entry_url(&self, path: &str) -> String {
@@ -139,6 +163,7 @@
             http,
             network,
             folder,
+            links: collections::BTreeMap::new(),
         };
         fleet
             .wait("the platform", async |fleet: &Self| {
@@ -148,7 +173,10 @@
             .await;
         fleet.apply(&format!("{}{more}", records(&fleet.network)));
         for (index, zone) in zones.iter().enumerate() {
-            let host = fleet.start_host(u8::try_from(index).expect("few hosts"), zone);
+            let index = u8::try_from(index).expect("few hosts");
+            let links = Links::start(&fleet.network, index);
+            fleet.links.insert(index, links);
+            let host = fleet.start_host(index, zone);
             fleet.hosts.push(host);
         }
         fleet.wait_ready().await;
@@ -158,12 +186,17 @@
     /// Starts the daemons of one entry host.
     pub fn start_host(&self, index: u8, zone: &str) -> Host {
         let name = format!("host-{index}");
+        let platform = if self.links.contains_key(&index) {
+            let ip = self.network.ip(FIRST_HOST + index);
+            format!("http://{ip}:{PLATFORM_PORT}")
+        } else {
+            self.platform.clone()
+        };
         let ip = self.network.ip(FIRST_HOST + index);
         let common = format!("host: {name}\nzone: {zone}\n");
         let entry = format!(
             "{common}listen: {ip}:{ENTRY_PORT}\ncontrol: {ip}:{CONTROL_PORT}\nhome: {ip}:{HOME_PORT}\n\
-             admin: {ip}:{ADMIN_PORT}\nplatform: {}\n",
-            self.platform
+             admin: {ip}:{ADMIN_PORT}\nplatform: {platform}\n",
         );
         let lookup = format!(
             "{common}listen: {ip}:{LOOKUP_PORT}\ncontrol: {ip}:{LOOKUP_CONTROL_PORT}\nadmin: {ip}:{}\n",
@@ -172,32 +205,64 @@
         let steer = format!(
             "{common}ports: {{entry: '{ip}:{ENTRY_PORT}', control: '{ip}:{CONTROL_PORT}', \
              home: '{ip}:{HOME_PORT}', \
-             lookup: '{ip}:{LOOKUP_PORT}', steer: '{ip}:{STEER_PORT}'}}\n\
-             lookup_control: {ip}:{LOOKUP_CONTROL_PORT}\nadmin: {ip}:{}\nplatform: {}\n\
+             lookup: '{ip}:{LOOKUP_PORT}', steer: '{ip}:{PEER_PORT}'}}\n\
+             steer_listen: {ip}:{STEER_PORT}\n\
+             lookup_control: {ip}:{LOOKUP_CONTROL_PORT}\nadmin: {ip}:{}\nplatform: {platform}\n\
              poll: 200ms\nheartbeat: 400ms\n",
             ADMIN_PORT + 2,
-            self.platform
         );
-        let run = |program: &str, text: &str| {
-            let path = self
-                .folder
-                .path()
-                .join(format!("{name}-{index}-{}.yaml", text.len()));
+        let write = |role: &str, text: &str| {
+            let path = self.folder.path().join(format!("{name}-{role}.yaml"));
             fs::write(&path, text).expect("settings are written");
+            path
+        };
+        let run = |program: &str, path: &path::Path| {
             let mut command = process::Command::new(program);
-            command.arg(&path);
+            command.arg(path);
             spawn(command)
         };
+        let steer_settings = write("steer", &steer);
         Host {
-            entry: run(env!("CARGO_BIN_EXE_skylark-entry"), &entry),
-            lookup: run(env!("CARGO_BIN_EXE_skylark-lookup"), &lookup),
-            steer: run(env!("CARGO_BIN_EXE_skylark-steer"), &steer),
+            entry: run(env!("CARGO_BIN_EXE_skylark-entry"), &write("entry", &entry)),
+            lookup: run(
+                env!("CARGO_BIN_EXE_skylark-lookup"),
+                &write("lookup", &lookup),
+            ),
+            steer: run(env!("CARGO_BIN_EXE_skylark-steer"), &steer_settings),
+            steer_settings,
             name,
             zone: zone.to_owned(),
             ip,
         }
     }
 
+    /// Cuts an entry host off from the platform.
+    pub fn cut_platform(&self, index: u8) {
+        self.links[&index].platform.cut();
+    }
+
+    /// Cuts all control processes off from each other.
+    pub fn cut_peers(&self) {
+        self.links.values().for_each(|links| links.peers.cut());
+    }
+
+    /// Starts the control process of an entry host again.
+    pub fn restart_steer(&mut self, index: u8) {
+        let place = usize::from(index);
+        let path = self.hosts[place].steer_settings.clone();
+        let mut command = process::Command::new(env!("CARGO_BIN_EXE_skylark-steer"));
+        command.arg(path);
+        self.hosts[place].steer = spawn(command);
+    }
+
+    /// Ends every cut.
+    pub fn heal(&self) {
+        for links in self.links.values() {
+            links.platform.heal();
+            links.peers.heal();
+        }
+    }
+
     /// Waits until every host knows every other and takes requests.
     pub async fn wait_ready(&self) {
         self.wait("every host to be named", async |fleet: &Self| {
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,244 @@
+//! Configuration, keys and membership with real processes under faults.
+
+mod common;
+
+use std::process;
+use std::time;
+
+use skylark_wire::header;
+use skylark_wire::http;
+
+/// The deployment's bound on the age of evidence.
+const BOUND: time::Duration = time::Duration::from_secs(3);
+const STEP: time::Duration = time::Duration::from_millis(50);
+const OPEN_PATH: &str = "/public/tides";
+
+fn withdrawn() -> String {
+    let digest = skylark_core::secret::Secret::new(common::KEY).digest();
+    let digest = String::from(digest);
+    format!("schema: 1\nkey: {{name: shop-1, account: shop, digest: {digest}, state: withdrawn}}\n")
+}
+
+/// Returns the status of a keyed request and the kind of its refusal.
+async fn keyed(fleet: &common::Fleet, host: usize) -> (u16, String) {
+    let reply = fleet.get(&fleet.hosts[host], "/stock/oars").await;
+    let reply = reply.expect("an answer");
+    (reply.status, kind(&reply))
+}
+
+fn kind(reply: &http::Reply) -> String {
+    let said: Option<serde_json::Value> = serde_json::from_slice(&reply.body).ok();
+    said.and_then(|said| Some(said["type"].as_str()?.to_owned()))
+        .unwrap_or_default()
+}
+
+async fn open(fleet: &common::Fleet, host: usize) -> u16 {
+    let reply = fleet.call(&fleet.hosts[host], "GET", OPEN_PATH, &[]).await;
+    reply.expect("an answer").status
+}
+
+async fn expect_all(fleet: &common::Fleet, span: time::Duration, hosts: &[usize], status: u16) {
+    let end = time::Instant::now() + span;
+    while time::Instant::now() < end {
+        for host in hosts {
+            let (said, kind) = keyed(fleet, *host).await;
+            assert_eq!(said, status, "host {host}: {kind}");
+        }
+        tokio::time::sleep(STEP).await;
+    }
+}
+
+async fn row(fleet: &common::Fleet, key: &str) -> serde_json::Value {
+    let url = format!("{}/table/row/{key}", fleet.platform);
+    let reply = fleet.http.send("GET", &url, Vec::new()).await;
+    let body = reply.expect("the platform answers").body;
+    serde_json::from_slice(&body).unwrap_or(serde_json::Value::Null)
+}
+
+/// Waits until every zone has a member and no earlier roster can vouch.
+async fn settle(fleet: &common::Fleet) {
+    fleet
+        .wait("a settled roster", async |fleet: &common::Fleet| {
+            let roster = row(fleet, "roster").await;
+            let members = roster["value"]["members"].as_array().map(Vec::len);
+            let past = roster["value"]["past"].as_array().map(Vec::len);
+            members == Some(fleet.hosts.len()) && past == Some(0)
+        })
+        .await;
+}
+
+fn signal(child: &process::Child, name: &str) {
+    let mut command = process::Command::new("kill");
+    command.arg(format!("-{name}")).arg(child.id().to_string());
+    assert!(command.status().expect("kill runs").success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_routes_stay_open_through_a_store_outage_while_the_hosts_hear_each_other() {
+    let fleet = common::Fleet::start(&common::ZONES).await;
+    settle(&fleet).await;
+    fleet
+        .platform_faults(&serde_json::json!({"down": true}))
+        .await;
+    expect_all(&fleet, BOUND * 3, &[0, 1, 2, 3], 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_dead_host_of_four_closes_no_other_in_a_store_outage() {
+    let mut fleet = common::Fleet::start(&common::ZONES).await;
+    settle(&fleet).await;
+    fleet
+        .platform_faults(&serde_json::json!({"down": true}))
+        .await;
+    fleet.hosts[3].kill();
+    expect_all(&fleet, BOUND * 3, &[0, 1, 2], 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_cut_from_store_and_peers_refuses_keyed_routes_and_serves_open_ones() {
+    let fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    settle(&fleet).await;
+    fleet.cut_platform(0);
+    fleet.cut_peers();
+    let cut = time::Instant::now();
+    fleet.apply(&withdrawn());
+    tokio::time::sleep(BOUND.saturating_sub(cut.elapsed())).await;
+    assert_eq!(keyed(&fleet, 0).await, (503, "stale-keys".to_owned()));
+    assert_eq!(keyed(&fleet, 1).await, (401, "unauthorized".to_owned()));
+    let reply = fleet
+        .get(&fleet.hosts[0], "/stock/oars")
+        .await
+        .expect("an answer");
+    assert_eq!(reply.headers[header::OUTCOME], "not-run");
+    expect_all(&fleet, BOUND, &[0], 503).await;
+    assert_eq!(open(&fleet, 0).await, 200);
+    fleet.heal();
+    fleet
+        .wait("news after the cut", async |fleet: &common::Fleet| {
+            let (status, _kind) = keyed(fleet, 0).await;
+            assert_ne!(status, 200, "the withdrawn key was honoured");
+            status == 401
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_for_a_connected_caller_within_the_bound() {
+    let fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    expect_all(&fleet, STEP, &[0, 1, 2], 200).await;
+    fleet.apply(&withdrawn());
+    let accepted = time::Instant::now();
+    for host in 0..3 {
+        while keyed(&fleet, host).await.0 == 200 {
+            assert!(accepted.elapsed() < BOUND, "host {host}");
+        }
+    }
+    expect_all(&fleet, BOUND, &[0, 1, 2], 401).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_reaches_hosts_that_are_cut_from_the_store_over_their_peers() {
+    let fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    fleet.cut_platform(0);
+    fleet.apply(&withdrawn());
+    let accepted = time::Instant::now();
+    while keyed(&fleet, 0).await != (401, "unauthorized".to_owned()) {
+        assert!(accepted.elapsed() < BOUND, "{:?}", keyed(&fleet, 0).await);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_version_goes_back_when_every_host_is_restarted() {
+    let mut fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    fleet.apply(&withdrawn());
+    expect_soon(&fleet, 401).await;
+    for host in &mut fleet.hosts {
+        host.kill();
+    }
+    fleet
+        .platform_faults(&serde_json::json!({"down": true}))
+        .await;
+    for (index, zone) in common::ZONES[..3].iter().enumerate() {
+        let host = fleet.start_host(u8::try_from(index).expect("few"), zone);
+        fleet.hosts[index] = host;
+    }
+    let end = time::Instant::now() + BOUND;
+    while time::Instant::now() < end {
+        for host in &fleet.hosts {
+            let reply = fleet.get(host, "/stock/oars").await;
+            let said = reply.map(|reply| (reply.status, kind(&reply)));
+            let expected = Some((503, "not-ready".to_owned()));
+            assert!(said.is_none() || said == expected, "{said:?}");
+        }
+        tokio::time::sleep(STEP).await;
+    }
+    fleet.platform_faults(&serde_json::json!({})).await;
+    expect_soon(&fleet, 401).await;
+    settle(&fleet).await;
+    expect_all(&fleet, BOUND, &[0, 1, 2], 401).await;
+}
+
+/// Waits until every host answers a keyed request with a status, and never with 200 before.
+async fn expect_soon(fleet: &common::Fleet, status: u16) {
+    fleet
+        .wait("every host's answer", async |fleet: &common::Fleet| {
+            for host in 0..fleet.hosts.len() {
+                if keyed(fleet, host).await.0 != status {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_entry_process_serves_on_while_its_control_process_is_replaced() {
+    let mut fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    settle(&fleet).await;
+    let _ended = fleet.hosts[0].steer.kill();
+    let _reaped = fleet.hosts[0].steer.wait();
+    expect_all(&fleet, BOUND / 3, &[0, 1], 200).await;
+    fleet.restart_steer(0);
+    expect_all(&fleet, BOUND * 2, &[0, 1], 200).await;
+    settle(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_control_process_lets_keys_go_stale_and_no_old_proof_revives_them() {
+    let fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    settle(&fleet).await;
+    signal(&fleet.hosts[0].steer, "STOP");
+    signal(&fleet.hosts[0].entry, "STOP");
+    fleet.apply(&withdrawn());
+    tokio::time::sleep(BOUND).await;
+    signal(&fleet.hosts[0].entry, "CONT");
+    expect_all(&fleet, BOUND, &[0], 503).await;
+    signal(&fleet.hosts[0].steer, "CONT");
+    expect_soon(&fleet, 401).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_holder_of_a_lease_is_followed_by_another_with_a_higher_epoch() {
+    let mut fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    let key = "lease/region-east";
+    fleet
+        .wait("a holder", async |fleet: &common::Fleet| {
+            row(fleet, key).await["value"]["holder"].is_string()
+        })
+        .await;
+    let before = row(&fleet, key).await["value"].clone();
+    let holder = before["holder"].as_str().expect("a holder").to_owned();
+    let index = usize::from(holder.starts_with("host-1"));
+    fleet.hosts[index].kill();
+    fleet
+        .wait("another holder", async |fleet: &common::Fleet| {
+            let now = row(fleet, key).await["value"].clone();
+            now["holder"] != before["holder"] && now["epoch"].as_u64() > before["epoch"].as_u64()
+        })
+        .await;
+}
