--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,11 +3,14 @@
 use skylark_core::error;
 use skylark_wire::platform;
 
+use super::files;
+
 /// Result of a command.
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A failure that the operator can mend.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The command line lacks something.
@@ -22,10 +25,10 @@
         source: std::io::Error,
     },
     /// Records are refused; nothing was written.
-    #[error("{}", .faults.join("\nerror: "))]
+    #[error("{}", list(.faults))]
     Records {
         /// Every fault, each with its place.
-        faults: Vec<String>,
+        faults: Vec<files::Fault>,
     },
     /// A name or quantity is refused; nothing was written.
     #[error("{0}")]
@@ -85,3 +88,9 @@
         }
     }
 }
+
+/// Joins faults to lines; each but the first gets its own `error:`.
+fn list(faults: &[files::Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\nerror: ")
+}
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -1,7 +1,8 @@
 //! Errors of the pure decisions.
 
 /// A fault in text that came from outside.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// A name has characters or a length that names do not have.
@@ -22,16 +23,6 @@
         /// A text that would be accepted.
         example: &'static str,
     },
-    /// A record names something that no record describes.
-    #[error("{record} names the {kind} '{name}', which no record describes")]
-    Dangling {
-        /// The record that holds the name.
-        record: String,
-        /// What the name should have named.
-        kind: &'static str,
-        /// The name that was not found.
-        name: String,
-    },
     /// A record contradicts itself or another record.
     #[error("{record}: {reason}")]
     Contradiction {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod record;
 pub mod secret;
 pub mod steer;
+pub mod suggest;
 pub mod timestamp;
 pub mod unit;
