--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -105,7 +105,7 @@
 secret=$("$bin/skylark" key issue ghat-1 --account ghat-masters --json |
   sed -n 's/.*"secret": *"\([^"]*\)".*/\1/p')
 [ -n "$secret" ] || fail "no key was issued"
-echo "    key ghat-1 issued; in force on every host within seconds"
+echo "    key ghat-1 issued"
 sleep 2
 
 step "A look-up of timber stock, answered"
