Send each request of a load run when it is due, from a thread of its own

Cause: the runtime's timer wakes on whole milliseconds, so a direct call seemed to take 1,137 us; the histogram saturated at 2,047 us. Change: a thread with a finer sleep starts each request; bounds up to 120 s.

--- a/crates/load/src/load.rs
+++ b/crates/load/src/load.rs
@@ -1,6 +1,8 @@
 //! Open-loop load: requests leave when they are due, however late earlier answers are.
 
+use std::hint;
 use std::sync;
+use std::thread;
 use std::time;
 
 use rand::RngExt as _;
@@ -14,6 +16,12 @@
 use super::options;
 use super::report;
 
+/// Time from the start of the tool to the begin of the run.
+const LEAD: time::Duration = time::Duration::from_millis(100);
+
+/// Time before a request is due that is waited for without sleep.
+const SPIN: time::Duration = time::Duration::from_micros(100);
+
 const STATUS_OK: u16 = 200;
 const STATUS_OVER_RATE: u16 = 429;
 const STATUS_REFUSED: u16 = 400;
@@ -26,19 +34,56 @@
 pub async fn run(load: &options::Load) -> error::Result<()> {
     let caller = sync::Arc::new(caller::Caller::new(&load.destination).await?);
     let (sender, receiver) = mpsc::unbounded_channel();
-    let begin = time::Instant::now() + time::Duration::from_millis(100);
+    let mut due = Vec::new();
+    let mut sources = Vec::new();
     for (index, account) in load.accounts.iter().enumerate() {
-        let source = Source {
+        due.extend(
+            arrivals(load, index, account)
+                .into_iter()
+                .map(|at| Due { at, index }),
+        );
+        sources.push(sync::Arc::new(Source {
             index,
             account: account.clone(),
             caller: sync::Arc::clone(&caller),
             path: load.path.clone(),
             results: sender.clone(),
-        };
-        tokio::spawn(source.run(arrivals(load, index, account), begin));
+        }));
     }
     drop(sender);
-    report::collect(load, receiver).await
+    due.sort_by_key(|due| due.at);
+    let runtime = tokio::runtime::Handle::current();
+    let clock = thread::spawn(move || dispatch(&due, &sources, &runtime));
+    let report = report::collect(load, receiver).await;
+    let _ended = clock.join();
+    report
+}
+
+/// One request that is due, at a time from the begin of the run.
+#[derive(Clone, Copy, Debug)]
+struct Due {
+    at: time::Duration,
+    index: usize,
+}
+
+/// Starts each request when it is due; a thread's sleep is finer than the runtime's timer.
+fn dispatch(due: &[Due], sources: &[sync::Arc<Source>], runtime: &tokio::runtime::Handle) {
+    let begin = time::Instant::now() + LEAD;
+    for one in due {
+        let at = begin + one.at;
+        wait_until(at);
+        runtime.spawn(sync::Arc::clone(&sources[one.index]).send(one.at, at));
+    }
+}
+
+fn wait_until(at: time::Instant) {
+    let left = at.saturating_duration_since(time::Instant::now());
+    if left > SPIN {
+        thread::sleep(left.saturating_sub(SPIN));
+    }
+    while time::Instant::now() < at {
+        hint::spin_loop();
+    }
 }
 
 /// Draws the times at which an account's requests are due, a Poisson process.
@@ -72,15 +117,6 @@
 }
 
 impl Source {
-    async fn run(self, arrivals: Vec<time::Duration>, begin: time::Instant) {
-        let source = sync::Arc::new(self);
-        for due in arrivals {
-            let at = begin + due;
-            tokio::time::sleep_until(at.into()).await;
-            tokio::spawn(sync::Arc::clone(&source).send(due, at));
-        }
-    }
-
     async fn send(self: sync::Arc<Self>, due: time::Duration, at: time::Instant) {
         let request = caller::Request {
             method: "GET",
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -12,6 +12,7 @@
 use super::options;
 
 const SIGNIFICANT_DIGITS: u8 = 3;
+const MAX_MICROS: u64 = 120_000_000;
 const MICROS_PER_SECOND: u128 = 1_000_000;
 const BASIS_POINTS: u64 = 10_000;
 
@@ -81,7 +82,8 @@
 
 fn line(account: &account::Account, mut samples: Vec<Sample>) -> error::Result<Line> {
     samples.sort_by_key(|sample| sample.due);
-    let mut latencies = hdrhistogram::Histogram::<u64>::new(SIGNIFICANT_DIGITS)?;
+    let mut latencies =
+        hdrhistogram::Histogram::<u64>::new_with_bounds(1, MAX_MICROS, SIGNIFICANT_DIGITS)?;
     for sample in samples
         .iter()
         .filter(|sample| sample.fate == Fate::Answered)
