--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Experiments and benchmarks on the decisions, one module an experiment.
 
+mod budgets;
 mod decision;
 mod error;
 pub mod options;
@@ -14,6 +15,7 @@
 pub fn run() -> Result<()> {
     let options = options::Options::from_args()?;
     match options.experiment {
+        options::Experiment::Budgets => budgets::run(&options),
         options::Experiment::Decision => decision::run(&options),
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,11 +3,13 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "decision";
+pub const NAMES: &str = "budgets, decision";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experiment {
+    /// Ways of keeping one budget over all entry hosts.
+    Budgets,
     /// Cost of reading the route of a request.
     Decision,
 }
@@ -39,6 +41,7 @@
             optional --seed seed: u64
         };
         let experiment = match flags.name.as_str() {
+            "budgets" => Experiment::Budgets,
             "decision" => Experiment::Decision,
             _ => return Err(error::Error::Unknown(flags.name)),
         };
