Measure the ledger, and forget trusted fingerprints by halves

Change: two halves, the older dropped whole when the newer is full. The test of a full memory was seen failing before (Wait in place of Run).

The load tool sends keyed requests too, counts an attempt for each further host that it tries (a resend that calls itself the first could make a true-looking "not run" false), and can send to one host keys of another's home.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod decision;
 mod error;
+mod once;
 pub mod options;
 
 pub use error::{Error, Result};
@@ -15,5 +16,6 @@
     let options = options::Options::from_args()?;
     match options.experiment {
         options::Experiment::Decision => decision::run(&options),
+        options::Experiment::Once => once::run(&options),
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,13 +3,15 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "decision";
+pub const NAMES: &str = "decision, once";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experiment {
     /// Cost of reading the route of a request.
     Decision,
+    /// Cost of the ledger of idempotency keys.
+    Once,
 }
 
 /// What to run and how to print it.
@@ -40,6 +42,7 @@
         };
         let experiment = match flags.name.as_str() {
             "decision" => Experiment::Decision,
+            "once" => Experiment::Once,
             _ => return Err(error::Error::Unknown(flags.name)),
         };
         Ok(Self {
--- a/crates/core/src/once/ledger.rs
+++ b/crates/core/src/once/ledger.rs
@@ -185,6 +185,20 @@
         self.count
     }
 
+    /// Returns the memory that the remembered keys take, in bytes, without the answers.
+    #[must_use]
+    pub fn key_memory(&self) -> usize {
+        let entry = size_of::<(super::Id, Slot)>() + size_of::<u8>();
+        let spans = self.spans.values().map(collections::HashMap::capacity);
+        spans.map(|capacity| capacity * 8 / 7 * entry).sum()
+    }
+
+    /// Returns the bytes of the answers that are kept in memory.
+    #[must_use]
+    pub fn answer_bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns whether no key is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/core/src/quarantine/limits.rs
+++ b/crates/core/src/quarantine/limits.rs
@@ -15,7 +15,7 @@
     pub pause: time::Duration,
     /// How long a success lets a fingerprint run side by side.
     pub trust: time::Duration,
-    /// Most fingerprints of each sort that are remembered.
+    /// Fingerprints that are trusted before the older half is forgotten, and most with deaths.
     pub prints: usize,
 }
 
--- a/crates/core/src/quarantine/ward.rs
+++ b/crates/core/src/quarantine/ward.rs
@@ -18,6 +18,7 @@
     number: u64,
     running: collections::HashMap<once::Print, usize>,
     trusted: collections::HashMap<once::Print, instant::Instant>,
+    aged: collections::HashMap<once::Print, instant::Instant>,
     deaths: collections::HashMap<once::Print, Vec<Seen>>,
 }
 
@@ -38,6 +39,7 @@
             number: 0,
             running: collections::HashMap::new(),
             trusted: collections::HashMap::new(),
+            aged: collections::HashMap::new(),
             deaths: collections::HashMap::new(),
         }
     }
@@ -127,6 +129,7 @@
     ) -> Option<super::Death> {
         let was_trusted = self.is_trusted(now, print);
         self.trusted.remove(&print);
+        self.aged.remove(&print);
         self.number += 1;
         let death = super::Death {
             print,
@@ -144,11 +147,9 @@
     fn trust(&mut self, now: instant::Instant, print: once::Print) {
         self.deaths.remove(&print);
         if self.trusted.len() >= self.limits.prints {
-            self.trusted.retain(|_print, until| now < *until);
-        }
-        if self.trusted.len() < self.limits.prints {
-            self.trusted.insert(print, now + self.limits.trust);
+            self.aged = std::mem::take(&mut self.trusted);
         }
+        self.trusted.insert(print, now + self.limits.trust);
     }
 
     fn add(&mut self, now: instant::Instant, death: super::Death, weight: usize) -> bool {
@@ -186,7 +187,8 @@
     }
 
     fn is_trusted(&self, now: instant::Instant, print: once::Print) -> bool {
-        self.trusted.get(&print).is_some_and(|until| now < *until)
+        let known = self.trusted.get(&print).or_else(|| self.aged.get(&print));
+        known.is_some_and(|until| now < *until)
     }
 
     fn start(&mut self, print: once::Print) {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -262,3 +262,25 @@
     }
     assert!(!ward.is_held(now, print()));
 }
+
+#[test]
+fn a_full_memory_forgets_the_oldest_successes_first() {
+    let witness = name::Incarnation::new("host-0").expect("a name");
+    let limits = quarantine::Limits {
+        prints: 2,
+        ..quarantine::Limits::default()
+    };
+    let mut ward = quarantine::Ward::new(limits, &witness);
+    let now = instant::Instant::ORIGIN;
+    let print = |number: u8| once::Print::new(None, "GET", "/stock", &[number]);
+    for number in 0..5 {
+        assert_eq!(ward.enter(now, print(number)), quarantine::Pass::Run);
+        ward.leave(now, print(number), quarantine::Ending::Answered);
+    }
+    for number in [4, 3] {
+        assert_eq!(ward.enter(now, print(number)), quarantine::Pass::Run);
+        assert_eq!(ward.enter(now, print(number)), quarantine::Pass::Run);
+    }
+    assert_eq!(ward.enter(now, print(0)), quarantine::Pass::Run);
+    assert_eq!(ward.enter(now, print(0)), quarantine::Pass::Wait);
+}
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -60,10 +60,11 @@
     pub async fn new(destination: &options::Destination) -> error::Result<Self> {
         let http = http::Client::new(destination.timeout);
         let timeout_millis = destination.timeout.as_millis();
-        if let Some(url) = &destination.url {
-            let bases = vec![url.trim_end_matches('/').to_owned()];
+        let own = destination.url.as_ref();
+        let own = own.map(|url| vec![url.trim_end_matches('/').to_owned()]);
+        if let (Some(bases), None) = (&own, &destination.lookup) {
             return Ok(Self {
-                bases,
+                bases: bases.clone(),
                 home: String::new(),
                 timeout_millis,
                 http,
@@ -97,7 +98,7 @@
             });
         }
         Ok(Self {
-            bases,
+            bases: own.unwrap_or(bases),
             home: answer.home.unwrap_or_default(),
             timeout_millis,
             http,
@@ -106,13 +107,20 @@
 
     /// Sends a request to the first entry host that can be reached.
     ///
+    /// Each further host gets a further attempt, so that it knows that an earlier one may
+    /// have run the request.
+    ///
     /// # Errors
     ///
     /// Fails when no entry host gives a whole answer.
     pub async fn send(&self, request: &Request<'_>) -> error::Result<http::Reply> {
         let mut last = error::Error::NoAddress;
-        for base in &self.bases {
-            match self.http.call(self.form(base, request)?).await {
+        for (attempt, base) in (request.attempt..).zip(&self.bases) {
+            let request = Request {
+                attempt,
+                ..*request
+            };
+            match self.http.call(self.form(base, &request)?).await {
                 Ok(reply) => return Ok(reply),
                 Err(error) => last = error.into(),
             }
--- a/crates/load/src/load.rs
+++ b/crates/load/src/load.rs
@@ -14,6 +14,7 @@
 use super::options;
 use super::report;
 
+const NUMBER: &str = "NUMBER";
 const STATUS_OK: u16 = 200;
 const STATUS_OVER_RATE: u16 = 429;
 const STATUS_REFUSED: u16 = 400;
@@ -33,6 +34,8 @@
             account: account.clone(),
             caller: sync::Arc::clone(&caller),
             path: load.path.clone(),
+            method: load.method.clone(),
+            idempotency: load.idempotency.clone(),
             results: sender.clone(),
         };
         tokio::spawn(source.run(arrivals(load, index, account), begin));
@@ -68,25 +71,30 @@
     account: account::Account,
     caller: sync::Arc<caller::Caller>,
     path: String,
+    method: String,
+    idempotency: Option<String>,
     results: mpsc::UnboundedSender<report::Sample>,
 }
 
 impl Source {
     async fn run(self, arrivals: Vec<time::Duration>, begin: time::Instant) {
         let source = sync::Arc::new(self);
-        for due in arrivals {
+        for (number, due) in arrivals.into_iter().enumerate() {
             let at = begin + due;
             tokio::time::sleep_until(at.into()).await;
-            tokio::spawn(sync::Arc::clone(&source).send(due, at));
+            tokio::spawn(sync::Arc::clone(&source).send(number, due, at));
         }
     }
 
-    async fn send(self: sync::Arc<Self>, due: time::Duration, at: time::Instant) {
+    async fn send(self: sync::Arc<Self>, number: usize, due: time::Duration, at: time::Instant) {
+        let unique = format!("{}-{number}", self.index);
+        let idempotency = self.idempotency.as_ref();
+        let idempotency = idempotency.map(|text| text.replace(NUMBER, &unique));
         let request = caller::Request {
-            method: "GET",
+            method: &self.method,
             path: &self.path,
             key: Some(self.account.key.as_str()).filter(|key| !key.is_empty()),
-            idempotency: None,
+            idempotency: idempotency.as_deref(),
             attempt: 1,
             body: "",
         };
--- a/crates/load/src/options.rs
+++ b/crates/load/src/options.rs
@@ -17,7 +17,7 @@
             optional --threads threads: usize
             /// Address of a look-up, such as http://127.10.1.1:8002
             optional --lookup lookup: String
-            /// Base address for requests without a look-up
+            /// Base address for requests, in place of those that the look-up names
             optional --url url: String
             /// Availability zone of the callers
             optional --zone zone: String
@@ -46,6 +46,10 @@
                 required path: String
                 /// Accounts as NAME,KEY,SENT,RATE,BURST
                 repeated --account account: String
+                /// HTTP method
+                optional --method method: String
+                /// Idempotency key; HOME stands for the home, NUMBER for a number of the request
+                optional --idempotency-key text: String
                 /// Length of the run, in seconds
                 optional --seconds seconds: u64
                 /// Seed of the arrivals
@@ -69,7 +73,7 @@
 pub struct Destination {
     /// Address of a look-up.
     pub lookup: Option<String>,
-    /// Base address for requests without a look-up.
+    /// Base address for requests, in place of those that the look-up names.
     pub url: Option<String>,
     /// Availability zone of the callers.
     pub zone: Option<String>,
@@ -105,6 +109,10 @@
     pub destination: Destination,
     /// Path and query.
     pub path: String,
+    /// HTTP method.
+    pub method: String,
+    /// Idempotency key, in which `NUMBER` stands for a number of the request.
+    pub idempotency: Option<String>,
     /// Client accounts that send.
     pub accounts: Vec<account::Account>,
     /// Length of the run.
@@ -169,6 +177,8 @@
         Ok(Self {
             destination,
             path: flags.path,
+            method: flags.method.unwrap_or_else(|| "GET".to_owned()),
+            idempotency: flags.idempotency_key,
             accounts: read.collect::<error::Result<_>>()?,
             length,
             seed: flags.seed.unwrap_or(1),
