--- /dev/null
+++ b/crates/cli/src/command/status.rs
@@ -0,0 +1,111 @@
+//! `skylark status`: shows which availability zones and entry hosts live.
+
+use skylark_core::record;
+use skylark_wire::control;
+
+use crate::error;
+use crate::print;
+use crate::roster;
+use crate::session;
+use crate::store;
+use crate::table;
+
+/// What is printed for programs.
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+struct Status<'a> {
+    head: &'a record::Head,
+    records: usize,
+    zones: Vec<&'a roster::Standing>,
+    hosts: &'a [roster::Life],
+    drains: Vec<&'a record::Drain>,
+    shifts: Vec<&'a record::Shift>,
+}
+
+/// Shows the newest version, the availability zones, entry hosts, drains and shifts.
+///
+/// # Errors
+///
+/// Fails when the platform does not answer.
+pub async fn run(session: &session::Session) -> error::Result<()> {
+    let platform = session.platform()?;
+    let watch = roster::Watch::watch(&platform, roster::SILENCE).await?;
+    let hosts = roster::hosts(&platform).await?;
+    let base = session.store()?.snapshot().await?;
+    let records = || base.records.values();
+    let status = Status {
+        head: &base.head,
+        records: base.records.len(),
+        zones: watch.zones().collect(),
+        hosts: &hosts,
+        drains: records().filter_map(|r| r.drain.as_ref()).collect(),
+        shifts: records().filter_map(|r| r.shift.as_ref()).collect(),
+    };
+    if session.format() == session::Format::Programs {
+        return session.say(&status, "");
+    }
+    print_people(session, &base, &status)
+}
+
+fn print_people(
+    session: &session::Session,
+    base: &store::Snapshot,
+    status: &Status<'_>,
+) -> error::Result<()> {
+    let line = format!("version {}, {} records", base.head.version, status.records);
+    session.say(&(), &line)?;
+    let zones: Vec<Vec<String>> = status.zones.iter().map(|z| zone_row(base, z)).collect();
+    table::print(&["zone", "version", "state", "member"], &zones)?;
+    let hosts: Vec<Vec<String>> = status.hosts.iter().map(host_row).collect();
+    table::print(&["host", "zone", "phase", "incarnation"], &hosts)?;
+    for drain in &status.drains {
+        let (kind, name) = match &drain.subject {
+            record::Subject::Target(name) => ("target", name.as_str()),
+            record::Subject::Zone(name) => ("zone", name.as_str()),
+            record::Subject::Host(name) => ("host", name.as_str()),
+        };
+        session.say(&(), &format!("drained: {kind} {name}"))?;
+    }
+    for shift in &status.shifts {
+        let record::Shift {
+            service,
+            from,
+            to,
+            part,
+            cap,
+            ..
+        } = shift;
+        let line = format!("shifted: {part} of {service} from {from} to {to}, at most {cap}");
+        session.say(&(), &line)?;
+    }
+    Ok(())
+}
+
+fn zone_row(base: &store::Snapshot, zone: &roster::Standing) -> Vec<String> {
+    let (style, state) = if !zone.is_heard {
+        (print::BAD, "silent")
+    } else if zone.version < base.head.version {
+        (print::WARN, "behind")
+    } else {
+        (print::GOOD, "in force")
+    };
+    vec![
+        zone.zone.clone(),
+        zone.version.to_string(),
+        print::styled(style, &format!("{state:<8}")),
+        zone.member.to_string(),
+    ]
+}
+
+fn host_row(host: &roster::Life) -> Vec<String> {
+    let phase = match host.phase {
+        control::Phase::Serving => "serving",
+        control::Phase::Leaving => "leaving",
+    };
+    vec![
+        host.host.to_string(),
+        host.zone.to_string(),
+        phase.to_owned(),
+        host.incarnation.to_string(),
+    ]
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod block;
 pub mod budget;
+pub mod burn;
 pub mod catalog;
 pub mod config;
 pub mod decision;
--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -15,7 +15,8 @@
 const HOSTS_PREFIX: &str = "hosts/";
 
 /// The row by which a member tells that it lives and what its zone has in force.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Beat {
     /// The member, the roster that it knows and the version that it has in force.
     pub report: member::Report,
