Record latencies above 2 ms in the load tool's report

Cause: saturating_record never grows the histogram, whose first bound is 2,047 us: every latency above it was counted as 2,047 us or as 2 us.

--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -37,4 +37,7 @@
     /// The histogram's bounds are wrong.
     #[error("the histogram cannot be made: {0}")]
     Histogram(#[from] hdrhistogram::CreationError),
+    /// A latency is beyond what a histogram can hold.
+    #[error("a latency cannot be counted: {0}")]
+    Record(#[from] hdrhistogram::RecordError),
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -86,7 +86,7 @@
         .iter()
         .filter(|sample| sample.fate == Fate::Answered)
     {
-        latencies.saturating_record(u64::try_from(sample.latency.as_micros()).unwrap_or(u64::MAX));
+        latencies.record(u64::try_from(sample.latency.as_micros()).unwrap_or(u64::MAX))?;
     }
     let allowed = allowed(account, &samples);
     let answered = count(&samples, Fate::Answered);
