--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod decision;
 mod error;
+mod once;
 pub mod options;
 
 pub use error::{Error, Result};
@@ -17,5 +18,6 @@
     match options.experiment {
         options::Experiment::Budgets => budgets::run(&options),
         options::Experiment::Decision => decision::run(&options),
+        options::Experiment::Once => once::run(&options),
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,7 +3,7 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "budgets, decision";
+pub const NAMES: &str = "budgets, decision, once";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,6 +12,8 @@
     Budgets,
     /// Cost of reading the route of a request.
     Decision,
+    /// Cost of the ledger of idempotency keys.
+    Once,
 }
 
 /// What to run and how to print it.
@@ -43,6 +45,7 @@
         let experiment = match flags.name.as_str() {
             "budgets" => Experiment::Budgets,
             "decision" => Experiment::Decision,
+            "once" => Experiment::Once,
             _ => return Err(error::Error::Unknown(flags.name)),
         };
         Ok(Self {
--- a/crates/load/src/load.rs
+++ b/crates/load/src/load.rs
@@ -22,6 +22,7 @@
 /// Time before a request is due that is waited for without sleep.
 const SPIN: time::Duration = time::Duration::from_micros(100);
 
+const NUMBER: &str = "NUMBER";
 const STATUS_OK: u16 = 200;
 const STATUS_OVER_RATE: u16 = 429;
 const STATUS_REFUSED: u16 = 400;
@@ -47,6 +48,8 @@
             account: account.clone(),
             caller: sync::Arc::clone(&caller),
             path: load.path.clone(),
+            method: load.method.clone(),
+            idempotency: load.idempotency.clone(),
             results: sender.clone(),
         }));
     }
@@ -69,10 +72,11 @@
 /// Starts each request when it is due; a thread's sleep is finer than the runtime's timer.
 fn dispatch(due: &[Due], sources: &[sync::Arc<Source>], runtime: &tokio::runtime::Handle) {
     let begin = time::Instant::now() + LEAD;
-    for one in due {
+    for (number, one) in due.iter().enumerate() {
         let at = begin + one.at;
         wait_until(at);
-        runtime.spawn(sync::Arc::clone(&sources[one.index]).send(one.at, at));
+        let source = sync::Arc::clone(&sources[one.index]);
+        runtime.spawn(source.send(number, one.at, at));
     }
 }
 
@@ -113,16 +117,21 @@
     account: account::Account,
     caller: sync::Arc<caller::Caller>,
     path: String,
+    method: String,
+    idempotency: Option<String>,
     results: mpsc::UnboundedSender<report::Sample>,
 }
 
 impl Source {
-    async fn send(self: sync::Arc<Self>, due: time::Duration, at: time::Instant) {
+    async fn send(self: sync::Arc<Self>, number: usize, due: time::Duration, at: time::Instant) {
+        let unique = format!("{}-{number}", self.index);
+        let idempotency = self.idempotency.as_ref();
+        let idempotency = idempotency.map(|text| text.replace(NUMBER, &unique));
         let request = caller::Request {
-            method: "GET",
+            method: &self.method,
             path: &self.path,
             key: Some(self.account.key.as_str()).filter(|key| !key.is_empty()),
-            idempotency: None,
+            idempotency: idempotency.as_deref(),
             attempt: 1,
             body: "",
         };
