Leave out hosts that the platform takes away; prove planned stops

The platform's list only marks hosts as leaving: one that it does not show is still named, since the list lags. A planned stop of all daemons of a host under requests answers every one, and the control process then leaves the roster sealed.

--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -55,6 +55,7 @@
         if table::is_due(self.last, state.settings.heartbeat.get(), now) {
             self.last = Some(now);
             look(state).await?;
+            look_for_leaving(state).await?;
         }
         Ok(())
     }
@@ -119,6 +120,18 @@
     });
 }
 
+/// Reads which hosts the platform is about to take away.
+async fn look_for_leaving(state: &state::State) -> platform::Result<()> {
+    let listed = state.platform.hosts().await?;
+    let leaving = listed
+        .into_iter()
+        .filter(|entry| entry.state == platform::HostState::Leaving)
+        .map(|entry| entry.name)
+        .collect();
+    state.with(|known| known.directory.leave(leaving));
+    Ok(())
+}
+
 /// Reads the members' heartbeats, and the lists that are newer than the known ones.
 async fn look(state: &state::State) -> platform::Result<()> {
     let rows = state.platform.rows(ZONE_PREFIX).await?;
--- a/crates/steer/src/directory.rs
+++ b/crates/steer/src/directory.rs
@@ -23,6 +23,7 @@
 pub struct Directory {
     listings: collections::BTreeMap<name::Zone, peer::Listing>,
     heard: collections::BTreeMap<name::Host, Heard>,
+    leaving: collections::BTreeSet<String>,
 }
 
 impl Directory {
@@ -36,6 +37,13 @@
         self.heard.insert(heard.host.host.clone(), heard);
     }
 
+    /// Takes note of the hosts that the platform is about to take away.
+    ///
+    /// The platform's list lags: a host that it does not show is not taken for dead.
+    pub fn leave(&mut self, leaving: collections::BTreeSet<String>) {
+        self.leaving = leaving;
+    }
+
     /// Takes a list from a peer or the table; returns whether it is newer.
     pub fn take(&mut self, listing: &peer::Listing, roster: &member::Roster) -> bool {
         let is_newer = self.listings.get(&listing.zone).is_none_or(|known| {
@@ -78,7 +86,7 @@
         }
         self.heard
             .retain(|_name, heard| now.since(heard.at) < patience);
-        let hosts: Vec<control::Host> = self.heard.values().map(|h| h.host.clone()).collect();
+        let hosts: Vec<control::Host> = self.heard.values().map(|h| self.shown(h)).collect();
         let is_same = self
             .listings
             .get(&me.zone)
@@ -96,6 +104,14 @@
         true
     }
 
+    fn shown(&self, heard: &Heard) -> control::Host {
+        let mut host = heard.host.clone();
+        if self.leaving.contains(host.host.as_str()) {
+            host.phase = control::Phase::Leaving;
+        }
+        host
+    }
+
     /// Returns the hosts of zones that have a member in the roster.
     pub fn hosts(&self, roster: &member::Roster) -> Vec<control::Host> {
         let listings = self.listings.values();
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -242,3 +242,59 @@
         })
         .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_host_is_named_no_more_and_one_missing_from_the_list_still_is() {
+    let fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    let list = serde_json::json!([
+        {"name": "host-0", "zone": "east-a", "state": "live"},
+        {"name": "host-1", "zone": "east-b", "state": "leaving"},
+    ]);
+    let url = format!("{}/hosts", fleet.platform);
+    let body = list.to_string().into_bytes();
+    let reply = fleet.http.send("PUT", &url, body).await;
+    assert_eq!(reply.expect("the platform hears").status, 200);
+    fleet
+        .wait(
+            "the leaving host to be left out",
+            async |fleet: &common::Fleet| {
+                let mut named = fleet.named(&fleet.hosts[0]).await;
+                named.sort();
+                named == ["host-0", "host-2"]
+            },
+        )
+        .await;
+    expect_all(&fleet, BOUND, &[0, 1, 2], 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_a_whole_host_cuts_no_request_and_leaves_the_roster() {
+    let mut fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    for child in [
+        &fleet.hosts[1].entry,
+        &fleet.hosts[1].lookup,
+        &fleet.hosts[1].steer,
+    ] {
+        signal(child, "TERM");
+    }
+    // The longest cached answer names the host for the answers' time to live, 1 s.
+    expect_all(&fleet, time::Duration::from_millis(900), &[0, 1, 2], 200).await;
+    fleet
+        .wait(
+            "the roster without the host",
+            async |fleet: &common::Fleet| {
+                let roster = row(fleet, "roster").await;
+                let members = roster["value"]["members"].as_array().map(Vec::len);
+                let past = roster["value"]["past"].as_array().map(Vec::len);
+                members == Some(2) && past == Some(0)
+            },
+        )
+        .await;
+    let host = &mut fleet.hosts[1];
+    for child in [&mut host.entry, &mut host.lookup, &mut host.steer] {
+        assert!(child.wait().expect("an exit").success());
+    }
+    expect_all(&fleet, BOUND, &[0, 2], 200).await;
+}
