--- a/crates/core/tests/member_model.rs
+++ b/crates/core/tests/member_model.rs
@@ -19,6 +19,7 @@
 use skylark_core::unit;
 
 const SEEDS: u64 = 200;
+const RULE_SEEDS: u64 = 60;
 const LIVENESS_SEEDS: u64 = 12;
 const LONG_SEEDS: u64 = 5_000;
 const STEPS: usize = 3_000;
@@ -38,6 +39,10 @@
     ClaimWait,
     Bars,
     SendTime,
+    /// Keys are honoured however old the evidence is.
+    Bound,
+    /// Members do not vouch, so only the table makes evidence.
+    Vouching,
 }
 
 /// What a run showed.
@@ -47,6 +52,7 @@
     reverted: u64,
     two_holders: u64,
     accepted: u64,
+    seen: u64,
     open: u64,
     open_by_quorum: u64,
     held: u64,
@@ -578,6 +584,9 @@
                 mut answer,
                 is_helping,
             } => {
+                if self.without == Without::Vouching {
+                    answer.is_vouching = false;
+                }
                 if self.without == Without::Age {
                     answer
                         .evidence
@@ -662,7 +671,9 @@
         for host in awake {
             let now = host.local(self.now);
             let version = host.node.version().get();
-            if host.is_open(now) {
+            self.tally.seen += 1;
+            let is_unbounded = self.without == Without::Bound && host.node.proof(now).is_some();
+            if host.is_open(now) || is_unbounded {
                 self.tally.open += 1;
                 let is_quorum = host.refreshed.is_none_or(|at| now.since(at) > BOUND);
                 self.tally.open_by_quorum += u64::from(is_quorum);
@@ -692,6 +703,7 @@
         self.reverted += other.reverted;
         self.two_holders += other.two_holders;
         self.accepted += other.accepted;
+        self.seen += other.seen;
         self.open += other.open;
         self.open_by_quorum += other.open_by_quorum;
         self.held += other.held;
@@ -754,6 +766,16 @@
     }
 }
 
+#[test]
+fn neither_serving_always_nor_refusing_without_the_table_does_as_well() {
+    let ours = run(0..RULE_SEEDS, Without::Nothing);
+    let always = run(0..RULE_SEEDS, Without::Bound);
+    let never = run(0..RULE_SEEDS, Without::Vouching);
+    assert!(always.withdrawn_honoured > 0, "{always:?}");
+    assert_eq!(never.withdrawn_honoured, 0, "{never:?}");
+    assert!(never.open < ours.open && ours.open < always.open);
+}
+
 #[test]
 fn a_lease_needs_wait_bars_and_send_time() {
     let harm = |tally: &Tally| tally.two_holders;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -255,6 +255,19 @@
         self.hosts[place].steer = spawn(command);
     }
 
+    /// Returns the bytes between control processes so far.
+    pub fn peer_bytes(&self) -> u64 {
+        self.links.values().map(|links| links.peers.bytes()).sum()
+    }
+
+    /// Returns the bytes between entry hosts and the platform so far.
+    pub fn platform_bytes(&self) -> u64 {
+        self.links
+            .values()
+            .map(|links| links.platform.bytes())
+            .sum()
+    }
+
     /// Ends every cut.
     pub fn heal(&self) {
         for links in self.links.values() {
--- a/tests/common/relay.rs
+++ b/tests/common/relay.rs
@@ -1,6 +1,7 @@
 //! A relay of TCP connections that a test can cut.
 
-use std::io;
+use std::io::Read as _;
+use std::io::Write as _;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -17,6 +18,7 @@
 struct Shared {
     is_cut: atomic::AtomicBool,
     has_ended: atomic::AtomicBool,
+    bytes: atomic::AtomicU64,
     streams: sync::Mutex<Vec<net::TcpStream>>,
 }
 
@@ -41,6 +43,11 @@
         }
     }
 
+    /// Returns the bytes that were handed on, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(atomic::Ordering::Relaxed)
+    }
+
     /// Ends every connection and takes no new one.
     pub fn cut(&self) {
         self.shared.is_cut.store(true, atomic::Ordering::SeqCst);
@@ -67,7 +74,7 @@
 }
 
 impl Shared {
-    fn accept(&self, near: &net::TcpStream, target: net::SocketAddr) {
+    fn accept(self: &sync::Arc<Self>, near: &net::TcpStream, target: net::SocketAddr) {
         let mut streams = self.streams.lock().expect("not poisoned");
         if self.is_cut.load(atomic::Ordering::SeqCst) {
             return;
@@ -79,19 +86,27 @@
             let _ignored = stream.set_nodelay(true);
             streams.extend(stream.try_clone());
         }
-        pump(near, &far);
-        pump(&far, near);
+        self.pump(near, &far);
+        self.pump(&far, near);
     }
-}
 
-/// Copies one direction in a thread of its own.
-fn pump(from: &net::TcpStream, to: &net::TcpStream) {
-    let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
-        return;
-    };
-    thread::spawn(move || {
-        let _ended = io::copy(&mut from, &mut to);
-        let _closed = from.shutdown(net::Shutdown::Both);
-        let _closed = to.shutdown(net::Shutdown::Both);
-    });
+    /// Copies one direction in a thread of its own.
+    fn pump(self: &sync::Arc<Self>, from: &net::TcpStream, to: &net::TcpStream) {
+        let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
+            return;
+        };
+        let shared = sync::Arc::clone(self);
+        thread::spawn(move || {
+            let mut buffer = [0; 16_384];
+            while let Ok(count) = from.read(&mut buffer) {
+                if count == 0 || to.write_all(&buffer[..count]).is_err() {
+                    break;
+                }
+                let count = u64::try_from(count).expect("small");
+                shared.bytes.fetch_add(count, atomic::Ordering::Relaxed);
+            }
+            let _closed = from.shutdown(net::Shutdown::Both);
+            let _closed = to.shutdown(net::Shutdown::Both);
+        });
+    }
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -298,3 +298,36 @@
     }
     expect_all(&fleet, BOUND, &[0, 2], 200).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_goes_on_with_its_second_host_when_its_member_dies() {
+    let zones = ["east-a", "east-a", "west-a", "west-a"];
+    let mut fleet = common::Fleet::start(&zones).await;
+    let member = async |fleet: &common::Fleet| {
+        let roster = row(fleet, "roster").await;
+        let members = roster["value"]["members"]
+            .as_array()
+            .cloned()
+            .unwrap_or_default();
+        let mut east = members.iter().filter(|m| m["zone"] == "east-a");
+        east.next()
+            .and_then(|m| Some(m["host"].as_str()?.to_owned()))
+    };
+    let before = member(&fleet).await.expect("a member of the zone");
+    let dead = usize::from(before == "host-1");
+    let other = 1 - dead;
+    fleet.hosts[dead].kill();
+    expect_all(&fleet, BOUND * 2, &[other, 2, 3], 200).await;
+    fleet
+        .wait(
+            "the second host in the roster",
+            async |fleet: &common::Fleet| {
+                member(fleet).await.as_deref() == Some(fleet.hosts[other].name.as_str())
+            },
+        )
+        .await;
+    fleet
+        .platform_faults(&serde_json::json!({"down": true}))
+        .await;
+    expect_all(&fleet, BOUND * 2, &[other, 2, 3], 200).await;
+}
