Ask each peer in a task of its own, so that none waits for a slow one

A round over all peers took as long as its slowest: with one frozen peer the evidence aged by the call limit and the pause together. Tests freeze a member in a store outage and slow the store to 1.8 s a call.

--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -16,39 +16,49 @@
 
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(1);
 
-type Peers = collections::BTreeMap<record::Address, peer::PeerClient>;
-
-/// Asks the peers in rounds until the task is dropped.
+/// Asks each peer in a task of its own, so that none waits for a slow one.
 ///
 /// # Errors
 ///
-/// Never fails: a peer that does not answer is asked again in the next round.
+/// Never fails: a peer that does not answer is asked again after the pause.
 pub async fn run(state: sync::Arc<state::State>) -> io::Result<()> {
-    let mut peers = Peers::new();
+    let mut tasks = tokio::task::JoinSet::new();
+    let mut asked = collections::BTreeMap::new();
     loop {
-        round(&state, &mut peers).await;
+        let now = state.clock.now();
+        let patience = state.settings.patience();
+        let members = state.with(|known| known.peers(patience, now));
+        let wanted: Vec<record::Address> = members.iter().map(|m| m.steer).collect();
+        asked.retain(|address, task: &mut tokio::task::AbortHandle| {
+            let is_kept = wanted.contains(address) && !task.is_finished();
+            if !is_kept {
+                task.abort();
+            }
+            is_kept
+        });
+        for address in wanted {
+            asked.entry(address).or_insert_with(|| {
+                let shared = sync::Arc::clone(&state);
+                tasks.spawn(async move { keep_asking(&shared, address).await })
+            });
+        }
+        while tasks.try_join_next().is_some() {}
         state.tell();
         tokio::time::sleep(state.settings.poll.get()).await;
     }
 }
 
-async fn round(state: &sync::Arc<state::State>, peers: &mut Peers) {
-    let now = state.clock.now();
-    let patience = state.settings.patience();
-    let members = state.with(|known| known.peers(patience, now));
-    let addresses: Vec<record::Address> = members.iter().map(|m| m.steer).collect();
-    peers.retain(|address, _client| addresses.contains(address));
-    let asked = addresses.into_iter().map(|address| {
-        let known = peers.remove(&address);
-        async move { (address, ask(state, address, known).await) }
-    });
-    for (address, client) in futures::future::join_all(asked).await {
-        match client {
-            Ok(client) => {
-                peers.insert(address, client);
+async fn keep_asking(state: &state::State, address: record::Address) {
+    let mut client = None;
+    loop {
+        client = match ask(state, address, client).await {
+            Ok(client) => Some(client),
+            Err(error) => {
+                log::debug!(peer:% = address, error:% = error; "peer not asked");
+                None
             }
-            Err(error) => log::debug!(peer:% = address, error:% = error; "peer not asked"),
-        }
+        };
+        tokio::time::sleep(state.settings.poll.get()).await;
     }
 }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -94,6 +94,27 @@
     expect_all(&fleet, BOUND * 3, &[0, 1, 2], 200).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn one_frozen_host_of_four_closes_no_other_in_a_store_outage() {
+    let fleet = common::Fleet::start(&common::ZONES).await;
+    settle(&fleet).await;
+    fleet
+        .platform_faults(&serde_json::json!({"down": true}))
+        .await;
+    signal(&fleet.hosts[3].steer, "STOP");
+    expect_all(&fleet, BOUND * 3, &[0, 1, 2], 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_store_closes_nothing() {
+    let fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    fleet
+        .platform_faults(&serde_json::json!({"slow_millis": 1_800}))
+        .await;
+    expect_all(&fleet, BOUND * 3, &[0, 1, 2], 200).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_cut_from_store_and_peers_refuses_keyed_routes_and_serves_open_ones() {
     let fleet = common::Fleet::start(&common::ZONES[..2]).await;
