--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use skylark_core::catalog;
+use skylark_core::config;
 use skylark_core::record;
 use skylark_core::unit;
 use skylark_wire::platform;
@@ -12,6 +13,7 @@
 use super::random;
 
 const HEAD: &str = "head";
+const CHANGE_PREFIX: &str = "change/";
 const RECORD_PREFIX: &str = "record/";
 const READ_TRIES: u32 = 10;
 const READ_BACK_TRIES: u32 = 10;
@@ -122,17 +124,44 @@
             version: base.head.version.next(),
             write: random::write_id()?,
         };
+        let write = config::Write::new(&head.write, base.head.version);
         let commit = form(base.row, &head, edit)?;
         match self.platform.commit(&commit).await {
             Ok(()) => Ok(head.version),
             Err(platform::Error::NoAnswer { reason } | platform::Error::BadAnswer { reason }) => {
-                self.read_back(&head, &reason).await
+                self.read_back(&write, &reason).await
             }
-            Err(platform::Error::Conflict { .. }) => self.read_back_conflict(&head).await,
+            Err(platform::Error::Conflict { .. }) => self.read_back_conflict(&write).await,
             Err(other) => Err(other.into()),
         }
     }
 
+    /// Returns the catalogs of the given versions, rebuilt from the changes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer or its changes cannot be read.
+    pub async fn catalogs(
+        &self,
+        versions: &collections::BTreeSet<unit::Version>,
+    ) -> error::Result<collections::BTreeMap<unit::Version, catalog::Catalog>> {
+        let rows = self.platform.rows(CHANGE_PREFIX).await?;
+        let changes = rows.iter().map(read::<record::Change>);
+        let mut changes = changes.collect::<error::Result<Vec<_>>>()?;
+        changes.sort_by_key(|change| change.version);
+        let mut records = collections::BTreeMap::new();
+        let mut catalogs = collections::BTreeMap::new();
+        for change in changes {
+            let version = change.version;
+            play(&mut records, change);
+            if versions.contains(&version) {
+                let documents: Vec<record::Document> = records.values().cloned().collect();
+                catalogs.insert(version, catalog::Catalog::new(version, &documents)?);
+            }
+        }
+        Ok(catalogs)
+    }
+
     async fn head(&self) -> error::Result<(u64, record::Head)> {
         match self.platform.row(HEAD).await? {
             None => Ok((0, record::Head::default())),
@@ -141,32 +170,32 @@
     }
 
     /// Learns from the change's row whether a write without an answer took effect.
-    async fn read_back(&self, head: &record::Head, reason: &str) -> error::Result<unit::Version> {
+    async fn read_back(&self, write: &config::Write, reason: &str) -> error::Result<unit::Version> {
         for _ in 0..READ_BACK_TRIES {
-            match self.writer(head.version).await {
-                Ok(Some(write)) if write == head.write => return Ok(head.version),
-                Ok(Some(_other)) => return Err(error::Error::Conflict),
-                Ok(None) | Err(_) => tokio::time::sleep(READ_BACK_PAUSE).await,
+            match self.fate(write).await {
+                Ok(config::Fate::Applied(version)) => return Ok(version),
+                Ok(config::Fate::Lost) => return Err(error::Error::Conflict),
+                Ok(config::Fate::Unknown) | Err(_) => tokio::time::sleep(READ_BACK_PAUSE).await,
             }
         }
         Err(error::Error::Unknown {
-            version: head.version,
+            version: write.version(),
             reason: reason.to_owned(),
         })
     }
 
     /// Tells a lost race from a write that was delivered twice.
-    async fn read_back_conflict(&self, head: &record::Head) -> error::Result<unit::Version> {
-        match self.writer(head.version).await? {
-            Some(write) if write == head.write => Ok(head.version),
-            _ => Err(error::Error::Conflict),
+    async fn read_back_conflict(&self, write: &config::Write) -> error::Result<unit::Version> {
+        match self.fate(write).await? {
+            config::Fate::Applied(version) => Ok(version),
+            config::Fate::Lost | config::Fate::Unknown => Err(error::Error::Conflict),
         }
     }
 
-    async fn writer(&self, version: unit::Version) -> error::Result<Option<String>> {
-        let row = self.platform.row(&change_key(version)).await?;
+    async fn fate(&self, write: &config::Write) -> error::Result<config::Fate> {
+        let row = self.platform.row(&change_key(write.version())).await?;
         let change: Option<record::Change> = row.as_ref().map(read).transpose()?;
-        Ok(change.map(|change| change.write))
+        Ok(write.fate(change.as_ref()))
     }
 }
 
@@ -202,7 +231,19 @@
 }
 
 fn change_key(version: unit::Version) -> String {
-    format!("change/{version}")
+    format!("{CHANGE_PREFIX}{version}")
+}
+
+/// Puts a change on top of the records before it.
+fn play(records: &mut collections::BTreeMap<String, record::Document>, change: record::Change) {
+    for document in change.put {
+        if let Some(id) = document.id() {
+            records.insert(id, document);
+        }
+    }
+    for id in &change.removed {
+        records.remove(id);
+    }
 }
 
 fn write<T: serde::Serialize>(key: String, value: &T) -> error::Result<platform::Write> {
@@ -222,6 +263,15 @@
 }
 
 fn read_record(row: &platform::Row) -> error::Result<(String, record::Document)> {
+    let schema = row.value.get("schema").and_then(serde_json::Value::as_u64);
+    let newest = record::Document::SCHEMA;
+    if schema.is_some_and(|schema| schema > u64::from(newest)) {
+        let reason = format!(
+            "row '{}' is of a schema newer than {newest}: use a newer `skylark`",
+            row.key
+        );
+        return Err(platform::Error::BadAnswer { reason }.into());
+    }
     let id = row.key.trim_start_matches(RECORD_PREFIX).to_owned();
     Ok((id, read(row)?))
 }
