Steer requests by what the host saw, with a queue, a retry budget and replay

A caller's request that finds no slot waits in its service's queue or is refused at once; batch routes without a deadline wait up to 5 minutes. Overflow to another region uses a quarter of its slots, and a shift a share of its cap reckoned with two unseen hosts. A target's refusal is told apart from a failed connection. Decisions hold every step; an answer of the ledger is recorded as a recall.

Found by the real-process test: a target that refuses everything, alone in the nearest zone, drained the retry budget, and callers got 503. A target that refuses is now left alone for a pause that doubles with each refusal in a row (steer_pool a_target_that_refuses_everything, seen failing without it).

--- a/crates/core/src/decision/replay.rs
+++ b/crates/core/src/decision/replay.rs
@@ -161,6 +161,7 @@
             step::Step::Check { .. }
             | step::Step::Waited { .. }
             | step::Step::Dropped { .. }
+            | step::Step::Recall { .. }
             | step::Step::Exhausted { .. } => true,
         }
     }
@@ -170,8 +171,10 @@
             && match &self.verdict {
                 verdict::Verdict::Served { target, status } => matches!(
                     self.steps.last(),
-                    Some(step::Step::Send { target: last, end: sent::Sent::Answered(code), .. })
-                        if last == target && code == status
+                    Some(
+                        step::Step::Send { target: last, end: sent::Sent::Answered(code), .. }
+                            | step::Step::Recall { target: last, status: code }
+                    ) if last == target && code == status
                 ),
                 verdict::Verdict::Refused { kind, .. } => {
                     self.steps.last().is_some_and(|step| gives(step, *kind))
@@ -223,6 +226,6 @@
             }
             sent::Sent::Answered(_) => false,
         },
-        step::Step::Waited { .. } => false,
+        step::Step::Waited { .. } | step::Step::Recall { .. } => false,
     }
 }
--- a/crates/core/src/decision/step.rs
+++ b/crates/core/src/decision/step.rs
@@ -54,6 +54,13 @@
         #[serde(rename = "time_us")]
         time: u64,
     },
+    /// An answer that the target gave earlier, or to another host, was told.
+    Recall {
+        /// The target that answered.
+        target: name::Target,
+        /// HTTP status of the answer.
+        status: u16,
+    },
     /// A further attempt was refused by the retry budget or its bounds.
     Exhausted {
         /// What the caller is told.
--- a/crates/core/src/steer/known.rs
+++ b/crates/core/src/steer/known.rs
@@ -17,6 +17,8 @@
 const IDLE: time::Duration = time::Duration::from_mins(2);
 const SLOW_FACTOR: u32 = 3;
 const FORGET: time::Duration = time::Duration::from_secs(5);
+const SHED_PAUSE: time::Duration = time::Duration::from_millis(10);
+const MAX_SHED_PAUSE: time::Duration = time::Duration::from_secs(2);
 const UNKNOWN: u32 = 1_000;
 const REMEMBER: time::Duration = time::Duration::from_mins(1);
 
@@ -38,6 +40,8 @@
     answered: instant::Instant,
     faults: decay::Decay,
     sheds: decay::Decay,
+    streak: u32,
+    quiet: Option<instant::Instant>,
     cold: Option<instant::Instant>,
     used: instant::Instant,
 }
@@ -58,6 +62,8 @@
             answered: now,
             faults: decay::Decay::default(),
             sheds: decay::Decay::default(),
+            streak: 0,
+            quiet: None,
             cold: None,
             used: now,
         }
@@ -113,11 +119,12 @@
                 self.time(time, now);
                 self.faults.miss(now);
                 self.sheds.miss(now);
+                self.streak = 0;
                 self.outlier.succeed();
                 false
             }
             end::End::Shed => {
-                self.sheds.hit(now);
+                self.shed(now);
                 self.outlier.succeed();
                 false
             }
@@ -152,7 +159,7 @@
             age: age.min(candidate::REPORT_HORIZON),
             service,
             faults: self.faults.level(now),
-            sheds: self.sheds.level(now),
+            sheds: self.refusing(now),
             warmth: self.warmth(now),
             is_slow: service / SLOW_FACTOR > usual,
             is_tried: false,
@@ -180,6 +187,22 @@
         self.service.get(usual)
     }
 
+    /// Leaves the target alone for a pause that doubles with each refusal in a row.
+    fn shed(&mut self, now: instant::Instant) {
+        let pause = SHED_PAUSE * 2_u32.saturating_pow(self.streak);
+        self.streak += 1;
+        self.quiet = Some(now + pause.min(MAX_SHED_PAUSE));
+        self.sheds.hit(now);
+    }
+
+    /// Returns the recent refusals for want of room, in basis points.
+    fn refusing(&self, now: instant::Instant) -> u32 {
+        if self.quiet.is_some_and(|until| now < until) {
+            return super::WHOLE;
+        }
+        self.sheds.level(now)
+    }
+
     fn time(&mut self, time: u64, now: instant::Instant) {
         if now.since(self.answered) > FORGET {
             self.service.clear();
--- a/crates/core/tests/steer_pool.rs
+++ b/crates/core/tests/steer_pool.rs
@@ -280,6 +280,29 @@
     count
 }
 
+/// A target that refuses everything, alone in its zone, is asked ever more seldom.
+#[test]
+fn a_target_that_refuses_everything_is_left_alone() {
+    let mut pool = pool(&catalog(6, None), None, 0);
+    let mut refusals = 0;
+    for number in 0..1_000 {
+        let now = number * 100 * MILLI;
+        let steer::Choice::Target(index) = choose(&mut pool, number, now) else {
+            continue;
+        };
+        pool.start(index, at(now));
+        let is_refusing = index == 0;
+        refusals += usize::from(is_refusing);
+        let end = if is_refusing {
+            steer::End::Shed
+        } else {
+            steer::End::Answered(10 * MILLI)
+        };
+        pool.end(index, end, steer::Word::default(), at(now));
+    }
+    assert!((10..80).contains(&refusals), "{refusals} of 1000 in 100 s");
+}
+
 /// Targets that wrongly report to be full must not stop the service.
 #[test]
 fn targets_that_wrongly_report_to_be_full_stay_in_use() {
--- /dev/null
+++ b/crates/entry/src/balance/ask.rs
@@ -0,0 +1,262 @@
+//! Asking for a place at a target, waiting for one if need be.
+
+use std::sync;
+use std::time;
+
+use skylark_core::catalog;
+use skylark_core::decision;
+use skylark_core::instant;
+use skylark_core::kind;
+use skylark_core::name;
+use skylark_core::record;
+use skylark_core::steer;
+use skylark_runtime::clock;
+use tokio::sync::oneshot;
+
+use super::line;
+use super::lines;
+use super::seat;
+use crate::exchange;
+
+/// Time after which one who waits looks whether other hosts left slots free.
+const LOOK_PERIOD: time::Duration = time::Duration::from_millis(10);
+
+/// What this host knows of all targets, shared by its tasks.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    inner: sync::Arc<Inner>,
+    zone: name::Zone,
+}
+
+/// The lines of all services under their lock.
+#[derive(Debug)]
+pub struct Inner(sync::Mutex<lines::Lines>);
+
+/// One attempt of a request that needs a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The records in force.
+    pub catalog: &'a sync::Arc<catalog::Catalog>,
+    /// Entry hosts that are known to serve.
+    pub hosts: usize,
+    /// Service of the request.
+    pub service: &'a record::Service,
+    /// Client account of the request.
+    pub account: Option<&'a name::Account>,
+    /// Seed of the request's draws.
+    pub seed: steer::Seed,
+    /// Deadline, none for batch work.
+    pub deadline: Option<instant::Instant>,
+    /// Targets that were tried before.
+    pub tried: &'a [name::Target],
+}
+
+impl Shared {
+    /// Creates the knowledge of a process in an availability zone that has seen nothing.
+    #[must_use]
+    pub fn new(zone: &name::Zone) -> Self {
+        Self {
+            inner: sync::Arc::new(Inner(sync::Mutex::new(lines::Lines::new()))),
+            zone: zone.clone(),
+        }
+    }
+
+    /// Counts a success, which pays for later further attempts.
+    pub fn succeed(&self) {
+        self.inner.lock().retry.succeed();
+    }
+
+    /// Takes one further attempt from the budget; returns whether it may be made.
+    #[must_use]
+    pub fn may_retry(&self, now: instant::Instant) -> bool {
+        self.inner.lock().retry.take(now)
+    }
+
+    /// Returns a place at a target, after waiting for a slot if need be.
+    ///
+    /// Adds each step taken to `steps`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses, with nothing sent, when no target can answer in time.
+    pub async fn take(
+        &self,
+        ask: Ask<'_>,
+        clock: &clock::Clock,
+        steps: &mut Vec<decision::Step>,
+    ) -> exchange::Result<seat::Seat> {
+        let asked = clock.now();
+        let mut receiver = match self.begin(&ask, asked, steps)? {
+            Begun::Turn(turn) => return self.seat(&ask, turn, clock, steps),
+            Begun::Waits(receiver) => receiver,
+        };
+        let turn = self.wait(&ask, clock, &mut receiver).await;
+        let time = u64::try_from(clock.now().since(asked).as_micros()).unwrap_or(u64::MAX);
+        let Some(turn) = turn else {
+            let is_late = ask.deadline.is_some_and(|deadline| clock.now() >= deadline);
+            let kind = if is_late {
+                kind::ErrorKind::DeadlineUnmet
+            } else {
+                kind::ErrorKind::Overloaded
+            };
+            steps.push(decision::Step::Dropped { kind, time });
+            return Err(exchange::Refusal::new(kind));
+        };
+        if turn.version != ask.catalog.version {
+            steps.clear();
+        }
+        steps.push(decision::Step::Waited { time });
+        self.seat(&ask, turn, clock, steps)
+    }
+
+    /// Chooses a target at once, or lets the request wait.
+    fn begin(
+        &self,
+        ask: &Ask<'_>,
+        now: instant::Instant,
+        steps: &mut Vec<decision::Step>,
+    ) -> exchange::Result<Begun> {
+        let mut lines = self.inner.lock();
+        lines.install(ask.catalog, &self.zone, ask.hosts, now);
+        let none = exchange::Refusal::new(kind::ErrorKind::NoTarget);
+        let line = lines.get(&ask.service.name).ok_or(none)?;
+        let wish = wish(ask, line);
+        if !line.is_busy(&wish) {
+            let turn = line.choose(&wish, now);
+            let turn = turn.ok_or(exchange::Refusal::new(kind::ErrorKind::NoTarget))?;
+            if turn.choice != steer::Choice::Full {
+                return Ok(Begun::Turn(turn));
+            }
+            steps.push(step(turn));
+        }
+        let (sender, receiver) = oneshot::channel();
+        let entered = line.enter(line::Waiter { wish, sender }, now);
+        steps.push(decision::Step::Admit {
+            inputs: entered.inputs,
+            ruling: entered.ruling,
+        });
+        match entered.ruling {
+            steer::Ruling::Wait => Ok(Begun::Waits(receiver)),
+            steer::Ruling::Refuse(kind) => Err(exchange::Refusal::new(kind)),
+        }
+    }
+
+    /// Waits for a turn; none when the request is displaced or its deadline passes.
+    async fn wait(
+        &self,
+        ask: &Ask<'_>,
+        clock: &clock::Clock,
+        receiver: &mut oneshot::Receiver<line::Turn>,
+    ) -> Option<line::Turn> {
+        loop {
+            let left = ask
+                .deadline
+                .map_or(LOOK_PERIOD, |deadline| deadline.since(clock.now()));
+            if let Ok(turn) = tokio::time::timeout(LOOK_PERIOD.min(left), &mut *receiver).await {
+                return turn.ok();
+            }
+            let now = clock.now();
+            if ask.deadline.is_some_and(|deadline| now >= deadline) {
+                receiver.close();
+                return receiver.try_recv().ok();
+            }
+            self.inner.dispatch(&ask.service.name, now);
+        }
+    }
+
+    /// Takes the place that a choice gave, or refuses as the choice says.
+    fn seat(
+        &self,
+        ask: &Ask<'_>,
+        turn: line::Turn,
+        clock: &clock::Clock,
+        steps: &mut Vec<decision::Step>,
+    ) -> exchange::Result<seat::Seat> {
+        let (choice, target) = (turn.choice, turn.target.clone());
+        let version = turn.version;
+        steps.push(step(turn));
+        let target = target.ok_or(exchange::Refusal::new(refused(choice)))?;
+        let shared = sync::Arc::clone(&self.inner);
+        let service = ask.service.name.clone();
+        Ok(seat::Seat::new(target, version, shared, service, *clock))
+    }
+}
+
+impl Inner {
+    /// Counts the end of an exchange, and gives free slots to those who wait.
+    pub fn end(
+        &self,
+        service: &name::Service,
+        target: &name::Target,
+        end: steer::End,
+        word: steer::Word,
+        now: instant::Instant,
+    ) {
+        if let Some(pool) = self.lock().get(service).and_then(line::Line::pool)
+            && let Some(index) = pool.index(target)
+        {
+            pool.end(index, end, word, now);
+        }
+        self.dispatch(service, now);
+    }
+
+    /// Gives a service's free slots to those who wait.
+    fn dispatch(&self, service: &name::Service, now: instant::Instant) {
+        let turns = self.lock().get(service).map(|line| line.dispatch(now));
+        for (sender, turn) in turns.unwrap_or_default() {
+            if let Err(turn) = sender.send(turn) {
+                self.forget(service, &turn, now);
+            }
+        }
+    }
+
+    /// Takes back the slot of one who went away as the turn came.
+    fn forget(&self, service: &name::Service, turn: &line::Turn, now: instant::Instant) {
+        if let steer::Choice::Target(index) = turn.choice
+            && let Some(pool) = self.lock().get(service).and_then(line::Line::pool)
+        {
+            pool.end(index, steer::End::Cancelled, steer::Word::default(), now);
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, lines::Lines> {
+        self.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// How a request begins that needs a target.
+enum Begun {
+    Turn(line::Turn),
+    Waits(oneshot::Receiver<line::Turn>),
+}
+
+fn wish(ask: &Ask<'_>, line: &mut line::Line) -> line::Wish {
+    let pool = line.pool();
+    let tried = pool.map_or_else(Vec::new, |pool| {
+        let known = ask.tried.iter();
+        known.filter_map(|target| pool.index(target)).collect()
+    });
+    line::Wish {
+        seed: ask.seed,
+        attempt: u8::try_from(ask.tried.len() + 1).unwrap_or(u8::MAX),
+        tried,
+        account: ask.account.cloned(),
+        deadline: ask.deadline,
+    }
+}
+
+fn step(turn: line::Turn) -> decision::Step {
+    decision::Step::Choose {
+        inputs: turn.inputs,
+        choice: turn.choice,
+    }
+}
+
+/// Returns the kind of error that a choice without a target comes to.
+const fn refused(choice: steer::Choice) -> kind::ErrorKind {
+    match choice {
+        steer::Choice::Full => kind::ErrorKind::Overloaded,
+        steer::Choice::Late => kind::ErrorKind::DeadlineUnmet,
+        steer::Choice::Nowhere | steer::Choice::Target(_) => kind::ErrorKind::NoTarget,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/balance/line.rs
@@ -0,0 +1,259 @@
+//! One service's targets as this host sees them, and the requests that wait for them.
+
+use std::sync;
+
+use skylark_core::catalog;
+use skylark_core::instant;
+use skylark_core::name;
+use skylark_core::record;
+use skylark_core::steer;
+use skylark_core::unit;
+use tokio::sync::oneshot;
+
+/// Part of another region's slots that overflow from all hosts may use together.
+const OVERFLOW_PART: u32 = 4;
+/// Entry hosts by which the fleet may outgrow what this host knows of it.
+const UNSEEN_HOSTS: u64 = 2;
+
+/// One service on this host.
+#[derive(Debug)]
+pub struct Line {
+    pool: Option<steer::Pool>,
+    queue: steer::Queue<Waiter>,
+    shift: Option<Shift>,
+    hosts: u32,
+    catalog: sync::Arc<catalog::Catalog>,
+}
+
+/// A request that waits for a target.
+#[derive(Debug)]
+pub struct Waiter {
+    /// What the request asks.
+    pub wish: Wish,
+    /// Hears that its turn has come.
+    pub sender: oneshot::Sender<Turn>,
+}
+
+/// What one attempt of a request asks for.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    /// Seed of the request's draws.
+    pub seed: steer::Seed,
+    /// Number of the attempt, from 1.
+    pub attempt: u8,
+    /// Targets that were tried before, by index.
+    pub tried: Vec<u32>,
+    /// Client account of the request.
+    pub account: Option<name::Account>,
+    /// Deadline, none for batch work.
+    pub deadline: Option<instant::Instant>,
+}
+
+/// A choice made for a request, with what it depended on.
+#[derive(Debug)]
+pub struct Turn {
+    /// What the choice depended on.
+    pub inputs: Box<steer::Inputs>,
+    /// What it came to; a chosen target counts the request already.
+    pub choice: steer::Choice,
+    /// The chosen target.
+    pub target: Option<record::Target>,
+    /// Version of the records that the choice was made with.
+    pub version: unit::Version,
+}
+
+/// Turns that are to be told to those who waited, once no lock is held.
+pub type Turns = Vec<(oneshot::Sender<Turn>, Turn)>;
+
+/// A traffic shift out of this host's region.
+#[derive(Debug)]
+struct Shift {
+    record: record::Shift,
+    ramp: steer::Ramp,
+    cap: steer::Allowance,
+}
+
+impl Line {
+    /// Creates the line of a service whose queue holds `bound` requests.
+    #[must_use]
+    pub fn new(bound: u32) -> Self {
+        Self {
+            pool: None,
+            queue: steer::Queue::new(bound),
+            shift: None,
+            hosts: 1,
+            catalog: sync::Arc::default(),
+        }
+    }
+
+    /// Takes newer records.
+    pub fn install(
+        &mut self,
+        catalog: &sync::Arc<catalog::Catalog>,
+        service: &record::Service,
+        zone: &name::Zone,
+        hosts: usize,
+        now: instant::Instant,
+    ) {
+        self.catalog = sync::Arc::clone(catalog);
+        let earlier = self.pool.as_ref();
+        self.pool = Some(steer::Pool::new(catalog, &service.name, zone, earlier, now));
+        self.queue.set_bound(service.queue);
+        self.hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
+        let home = catalog.zones.get(zone);
+        let record = catalog
+            .shifts
+            .iter()
+            .find(|shift| shift.service == service.name && Some(&shift.from) == home);
+        let share =
+            |shift: &record::Shift| shift.cap.get() / (u64::from(self.hosts) + UNSEEN_HOSTS);
+        self.shift = match (record, self.shift.take()) {
+            (Some(record), Some(old)) if old.record == *record => Some(Shift {
+                cap: old.cap.with_rate(share(record), now),
+                ..old
+            }),
+            (Some(record), _) => Some(Shift {
+                record: record.clone(),
+                ramp: steer::Ramp::new(record.part.basis_points(), now),
+                cap: steer::Allowance::new(share(record), 1, now),
+            }),
+            (None, _) => None,
+        };
+    }
+
+    /// Returns what this host knows of the service's targets.
+    pub fn pool(&mut self) -> Option<&mut steer::Pool> {
+        self.pool.as_mut()
+    }
+
+    /// Returns whether a request has to wait behind others of its kind.
+    #[must_use]
+    pub fn is_busy(&self, wish: &Wish) -> bool {
+        if wish.deadline.is_some() {
+            self.queue.has_urgent()
+        } else {
+            !self.queue.is_empty()
+        }
+    }
+
+    /// Chooses a target for a request; a chosen target counts it at once.
+    pub fn choose(&mut self, wish: &Wish, now: instant::Instant) -> Option<Turn> {
+        let pool = self.pool.as_mut()?;
+        let shift = self.shift.as_mut().map(|shift| shift.shifted(pool, now));
+        let remaining = wish.deadline.map_or(u32::MAX, |deadline| {
+            u32::try_from(deadline.since(now).as_micros()).unwrap_or(u32::MAX)
+        });
+        let ask = steer::Ask::new(wish.seed)
+            .with_remaining(remaining)
+            .with_tried(wish.attempt, &wish.tried)
+            .with_shift(shift);
+        let hosts = self.hosts;
+        let allows = |_: &name::Region, used| has_share(used, hosts);
+        let (inputs, choice) = pool.choose(&ask, allows, now);
+        if let steer::Choice::Target(index) = choice {
+            pool.start(index, now);
+            let is_shifted = inputs.tiers.iter().any(|tier| {
+                tier.nearness == steer::Nearness::Shift
+                    && tier.drawn.iter().any(|known| known.index == index)
+            });
+            if let Some(shift) = self.shift.as_mut().filter(|_| is_shifted) {
+                shift.cap.take(now);
+            }
+        }
+        let target = match choice {
+            steer::Choice::Target(index) => self.target(index),
+            _ => None,
+        };
+        Some(Turn {
+            inputs: Box::new(inputs),
+            choice,
+            target,
+            version: self.catalog.version,
+        })
+    }
+
+    /// Lets a request wait, or refuses it or another one.
+    pub fn enter(&mut self, waiter: Waiter, now: instant::Instant) -> steer::Entered<Waiter> {
+        let speed = self.speed();
+        let entrant = steer::Entrant {
+            account: waiter.wish.account.clone(),
+            deadline: waiter.wish.deadline,
+            item: waiter,
+        };
+        self.queue.enter(entrant, speed, now)
+    }
+
+    /// Gives free slots to those who wait.
+    pub fn dispatch(&mut self, now: instant::Instant) -> Turns {
+        let mut turns = Turns::new();
+        self.queue.retain(|waiter| !waiter.sender.is_closed());
+        while self.has_room(now) {
+            let answer = self.speed().answer;
+            let Some(steer::Left::Turn(waiter) | steer::Left::Late(waiter)) =
+                self.queue.leave(answer, now)
+            else {
+                break;
+            };
+            let Some(turn) = self.choose(&waiter.wish, now) else {
+                break;
+            };
+            if turn.choice == steer::Choice::Full && waiter.wish.tried.is_empty() {
+                self.enter(waiter, now);
+                break;
+            }
+            turns.push((waiter.sender, turn));
+        }
+        turns
+    }
+
+    fn target(&self, index: u32) -> Option<record::Target> {
+        let known = self.pool.as_ref()?.targets();
+        let known = known.get(usize::try_from(index).ok()?)?;
+        self.catalog.targets.get(&known.name).cloned()
+    }
+
+    fn has_room(&mut self, now: instant::Instant) -> bool {
+        let hosts = self.hosts;
+        let allows = |_: &name::Region, used| has_share(used, hosts);
+        !self.queue.is_empty()
+            && self
+                .pool
+                .as_mut()
+                .is_some_and(|pool| pool.has_room(allows, now))
+    }
+
+    /// Returns how fast this host gets slots: while requests wait, its own are all it gets.
+    fn speed(&self) -> steer::Speed {
+        let pool = self.pool.as_ref();
+        let service = pool.map_or(0, steer::Pool::mean);
+        steer::Speed {
+            width: pool.map_or(1, steer::Pool::own).max(1),
+            service,
+            answer: service,
+        }
+    }
+}
+
+impl Shift {
+    /// Returns the shift as a request meets it now.
+    ///
+    /// The first step is taken blind: only moved requests bring measurements.
+    fn shifted(&mut self, pool: &steer::Pool, now: instant::Instant) -> steer::Shifted<'_> {
+        let blind = steer::Measure { level: 0, at: now };
+        let load = if self.ramp.part() == 0 {
+            Some(blind)
+        } else {
+            pool.load(&self.record.to, now)
+        };
+        self.ramp.update(load, now);
+        steer::Shifted {
+            to: &self.record.to,
+            shifting: self.ramp.shifting(self.cap.has_room(now)),
+        }
+    }
+}
+
+/// Returns whether one more request to another region stays within this host's share.
+fn has_share(used: steer::Use, hosts: u32) -> bool {
+    used.own < (used.slots / OVERFLOW_PART / hosts).max(1)
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -4,6 +4,7 @@
 use hyper::header;
 use skylark_core::name;
 use skylark_core::record;
+use skylark_core::steer;
 use skylark_runtime::clock;
 use skylark_wire::header as names;
 
@@ -14,8 +15,10 @@
 /// Why an exchange gave no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// The target did not start the request: another may.
+    /// The target could not be reached and did not start the request: another may.
     NotStarted,
+    /// The target says that it did not start the request: another may.
+    Shed(steer::Word),
     /// The connection broke after the request may have been started.
     Broken,
     /// The target's answer cannot be trusted to be whole and the request's own.
@@ -77,7 +80,7 @@
     }
     pool.give(target.address, sender);
     if head.headers.contains_key(names::NOT_STARTED) {
-        return Err(Failure::NotStarted);
+        return Err(Failure::Shed(word(&head.headers)));
     }
     let name = target.name.clone();
     Ok(exchange::Answer {
@@ -88,6 +91,15 @@
     })
 }
 
+/// Returns what a target says of itself on an answer.
+pub fn word(headers: &hyper::HeaderMap) -> steer::Word {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    steer::Word {
+        running: text(names::LOAD).and_then(|value| value.parse().ok()),
+        is_leaving: text(names::DRAINING).is_some_and(|value| value != "false"),
+    }
+}
+
 /// Returns what a failed send says of a start: an unsent request cannot have started.
 const fn failure(is_unsent: bool) -> Failure {
     if is_unsent {
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -13,9 +13,11 @@
 use skylark_core::once as rules;
 use skylark_core::quarantine as wards;
 use skylark_core::record;
+use skylark_core::steer;
 use skylark_wire::header;
 
 use super::answer;
+use super::balance;
 use super::exchange;
 use super::forward;
 use super::identity;
@@ -26,7 +28,8 @@
 use super::view;
 
 const BODY_LIMIT_BYTES: usize = 1024 * 1024;
-const TARGETS_PER_REQUEST: usize = 3;
+/// Time after which batch work without a deadline is given up.
+const BATCH_LIMIT: time::Duration = time::Duration::from_mins(5);
 
 /// Answers one request of a caller.
 pub async fn handle(
@@ -37,7 +40,7 @@
     let arrived = state.clock.now();
     let view = state.view();
     let result = serve(state, &view, &id, arrived, incoming).await;
-    journal::note(state, &id, arrived, &result);
+    journal::note(state, &view, &id, arrived, &result);
     measure(state, arrived, &result);
     match result {
         Ok(whole) => answer::whole(&id, whole),
@@ -85,7 +88,7 @@
         return once::receive(state, account, request).await;
     }
     admit(state, account.as_ref())?;
-    run(state, view, place.service, account.as_ref(), &request).await
+    run(state, place, account.as_ref(), &request).await
 }
 
 /// Reads a request whole and finds its client account and route.
@@ -103,7 +106,7 @@
     let place = view.catalog.route(head.method.as_str(), head.uri.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
     let account = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
-    let limit = timeout(&head.headers, place.service)?;
+    let limit = timeout(&head.headers, place)?;
     let body = read(body).await?;
     let request = exchange::Request {
         id: id.to_owned(),
@@ -132,7 +135,7 @@
         .route(request.method.as_str(), request.target.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
     admit(state, account)?;
-    run(state, &view, place.service, account, request).await
+    run(state, place, account, request).await
 }
 
 fn admit(state: &state::State, account: Option<&name::Account>) -> exchange::Result<()> {
@@ -144,10 +147,15 @@
 
 fn timeout(
     headers: &hyper::HeaderMap,
-    service: &record::Service,
+    place: catalog::Place<'_>,
 ) -> exchange::Result<time::Duration> {
     let Some(value) = headers.get(header::TIMEOUT) else {
-        return Ok(service.deadline.get());
+        let limit = place.service.deadline.get();
+        return Ok(if place.route.batch {
+            BATCH_LIMIT
+        } else {
+            limit
+        });
     };
     let millis = value
         .to_str()
@@ -167,29 +175,48 @@
 /// Runs a request that may be sent to several targets in turn while none has started it.
 async fn run(
     state: &sync::Arc<state::State>,
-    view: &view::View,
+    place: catalog::Place<'_>,
+    account: Option<&name::Account>,
+    request: &exchange::Request,
+) -> exchange::Result<exchange::Answer> {
+    let mut trace = journal::Trace::new(state, place.service, account, request);
+    let is_batch = place.route.batch && !request.headers.contains_key(header::TIMEOUT);
+    trace.deadline = (!is_batch).then(|| request.left(state.clock.now()));
+    let result = attempts(state, place.service, account, request, &mut trace).await;
+    trace.finish(state, &result);
+    result
+}
+
+/// Sends a request to targets in turn, until one starts it or none may be tried.
+async fn attempts(
+    state: &sync::Arc<state::State>,
     service: &record::Service,
     account: Option<&name::Account>,
     request: &exchange::Request,
+    trace: &mut journal::Trace,
 ) -> exchange::Result<exchange::Answer> {
     let print = once::print(account, request);
     let mut tried = Vec::new();
-    while tried.len() < TARGETS_PER_REQUEST {
-        let stay = quarantine::enter(state, print, request.deadline).await?;
-        let zone = &state.settings.zone;
-        let Some((target, slot)) = state.balance.choose(&view.catalog, service, zone, &tried)
-        else {
-            break;
-        };
-        if request.left(state.clock.now()).is_zero() {
-            return Err(exchange::Refusal::new(kind::ErrorKind::DeadlineUnmet));
-        }
+    loop {
+        let stay = quarantine::enter(state, print, request.deadline).await;
+        let stay = stay.map_err(|refusal| trace.check(refusal))?;
+        let seat = take(state, service, account, request, &tried, trace).await?;
+        let begun = state.clock.now();
+        let target = seat.target.clone();
         let result = forward::send(&state.pool, &target, request, account, &state.clock).await;
-        drop(slot);
+        let spent = state.clock.now().since(begun);
+        trace.sent(&target.name, &result, spent);
+        let (end, word) = seen(&result, spent);
+        seat.end(end, word);
         stay.end(ending(&result, &target.name));
         match result {
-            Ok(answer) => return Ok(answer),
-            Err(forward::Failure::NotStarted) => tried.push(target.name),
+            Ok(answer) => {
+                state.balance.succeed();
+                return Ok(answer);
+            }
+            Err(forward::Failure::NotStarted | forward::Failure::Shed(_)) => {
+                tried.push(target.name);
+            }
             Err(forward::Failure::Broken | forward::Failure::Unknown) => {
                 return Err(exchange::Refusal::new(kind::ErrorKind::TargetFailed));
             }
@@ -198,8 +225,58 @@
                 return Err(refusal.with_outcome(kind::Outcome::Unknown));
             }
         }
+        let has_attempts = tried.len() < usize::from(steer::Retry::ATTEMPTS);
+        if !has_attempts || !state.balance.may_retry(state.clock.now()) {
+            return Err(trace.exhausted());
+        }
+    }
+}
+
+/// Returns a place at a target, after waiting for one if need be.
+async fn take(
+    state: &state::State,
+    service: &record::Service,
+    account: Option<&name::Account>,
+    request: &exchange::Request,
+    tried: &[name::Target],
+    trace: &mut journal::Trace,
+) -> exchange::Result<balance::Seat> {
+    let view = state.view();
+    let ask = balance::Ask {
+        catalog: &view.catalog,
+        hosts: view.hosts.len(),
+        service,
+        account,
+        seed: trace.seed,
+        deadline: trace.deadline.map(|_limit| request.deadline),
+        tried,
+    };
+    trace.version = view.catalog.version;
+    let seat = state
+        .balance
+        .take(ask, &state.clock, &mut trace.steps)
+        .await?;
+    trace.version = seat.version;
+    Ok(seat)
+}
+
+/// Returns what an exchange shows of its target.
+fn seen(
+    result: &forward::Result<exchange::Answer>,
+    spent: time::Duration,
+) -> (steer::End, steer::Word) {
+    let micros = u64::try_from(spent.as_micros()).unwrap_or(u64::MAX);
+    let silent = steer::Word::default();
+    match result {
+        Ok(answer) => {
+            let mut word = forward::word(&answer.headers);
+            word.running = word.running.map(|running| running.saturating_sub(1));
+            (steer::End::Answered(micros), word)
+        }
+        Err(forward::Failure::Shed(word)) => (steer::End::Shed, *word),
+        Err(forward::Failure::TimedOut) => (steer::End::Expired(micros), silent),
+        Err(_failure) => (steer::End::Failed, silent),
     }
-    Err(exchange::Refusal::new(kind::ErrorKind::NoTarget))
 }
 
 /// Returns what an exchange tells of its request's fingerprint.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -68,7 +68,7 @@
             clock,
             metrics: metrics::sender("skylark.entry", settings.statsd)?,
             admission: admission::Admission::default(),
-            balance: balance::Balance::default(),
+            balance: balance::Balance::new(&settings.zone),
             pool: pool::Pool::default(),
             journal: journal::Journal::default(),
             platform: platform::Client::new(&settings.platform),
