--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -92,7 +92,7 @@
     vec![
         zone.zone.clone(),
         zone.version.to_string(),
-        print::styled(style, &format!("{state:<8}")),
+        print::styled(style, state),
         zone.member.to_string(),
     ]
 }
