--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -3,6 +3,7 @@
 use crate::error;
 use crate::files;
 use crate::options;
+use crate::print;
 use crate::session;
 use crate::store;
 
@@ -22,6 +23,6 @@
     if flags.dry_run {
         return super::diff::show(session, &base, &edit.put);
     }
-    let what = format!("{} records put", edit.put.len());
+    let what = format!("{} put", print::records(edit.put.len()));
     super::commit(session, &base, edit, &what).await
 }
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -5,6 +5,7 @@
 use crate::error;
 use crate::files;
 use crate::options;
+use crate::print;
 use crate::session;
 
 #[derive(Debug)]
@@ -21,5 +22,8 @@
 pub fn run(session: &session::Session, flags: &options::Check) -> error::Result<()> {
     let documents = files::Files::new(&flags.files)?.documents(iter::empty())?;
     let records = documents.len();
-    session.say(&Checked { records }, &format!("{records} records are good"))
+    session.say(
+        &Checked { records },
+        &format!("good: {}", print::records(records)),
+    )
 }
--- a/crates/cli/src/command/diff.rs
+++ b/crates/cli/src/command/diff.rs
@@ -27,7 +27,7 @@
     if changed.is_empty() {
         return Ok(());
     }
-    let text = format!("{} records differ", changed.len());
+    let text = format!("what differs: {}", print::records(changed.len()));
     Err(error::Error::Differs(text))
 }
 
@@ -105,9 +105,13 @@
         format!("nothing differs from version {version}")
     } else {
         format!(
-            "{}\n{} records differ from version {version}",
-            lines.join("\n"),
-            lines.len()
+            "{}
+{} not as in version {version}",
+            lines.join(
+                "
+"
+            ),
+            print::records(lines.len())
         )
     };
     session.say(&differences, &sentence)
--- a/crates/cli/src/command/remove.rs
+++ b/crates/cli/src/command/remove.rs
@@ -4,6 +4,7 @@
 
 use crate::error;
 use crate::options;
+use crate::print;
 use crate::session;
 use crate::store;
 
@@ -28,6 +29,6 @@
         put: Vec::new(),
         removed: flags.ids.clone(),
     };
-    let what = format!("{} records removed", edit.removed.len());
+    let what = format!("{} removed", print::records(edit.removed.len()));
     super::commit(session, &base, edit, &what).await
 }
--- a/crates/cli/src/command/shift.rs
+++ b/crates/cli/src/command/shift.rs
@@ -34,7 +34,7 @@
             removed: Vec::new(),
         }
     };
-    let state = if flags.undo { "ended" } else { "in force" };
+    let state = if flags.undo { "removed" } else { "put" };
     let what = format!("{id} {state}");
     super::commit(session, &base, edit, &what).await
 }
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -52,7 +52,8 @@
     base: &store::Snapshot,
     status: &Status<'_>,
 ) -> error::Result<()> {
-    let line = format!("version {}, {} records", base.head.version, status.records);
+    let count = print::records(status.records);
+    let line = format!("version {}, {count}", base.head.version);
     session.say(&(), &line)?;
     let zones: Vec<Vec<String>> = status.zones.iter().map(|z| zone_row(base, z)).collect();
     table::print(&["zone", "version", "state", "member"], &zones)?;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,6 +14,7 @@
 
 use std::env;
 use std::ffi;
+use std::io;
 use std::process;
 
 pub use error::{Error, Result};
@@ -45,6 +46,10 @@
     };
     match result {
         Ok(()) => process::ExitCode::SUCCESS,
+        // A reader such as `head` may close the output before its end.
+        Err(error::Error::Output(cause)) if cause.kind() == io::ErrorKind::BrokenPipe => {
+            process::ExitCode::SUCCESS
+        }
         Err(error) => {
             print::failure(&error, is_json);
             process::ExitCode::from(error.exit_code())
--- a/crates/cli/src/print.rs
+++ b/crates/cli/src/print.rs
@@ -21,6 +21,14 @@
     anstream::eprintln!("{line}");
 }
 
+/// Returns a count of records in words.
+pub fn records(count: usize) -> String {
+    match count {
+        1 => "1 record".to_owned(),
+        _ => format!("{count} records"),
+    }
+}
+
 #[derive(serde::Serialize)]
 struct Failure<'a> {
     error: String,
--- a/crates/core/tests/record.rs
+++ b/crates/core/tests/record.rs
@@ -105,6 +105,15 @@
     assert_eq!(catalog::flaws(&documents), Vec::new());
 }
 
+#[test]
+fn the_page_on_records_shows_each_template() {
+    let page = include_str!("../../../docs/RECORDS.md");
+    for kind in record::Document::KINDS {
+        let block = format!("```yaml\n{}```", template(kind));
+        assert!(page.contains(&block), "{kind}");
+    }
+}
+
 #[test]
 fn each_mistake_is_answered_with_line_field_and_what_is_allowed() {
     for mistake in mistakes() {
