--- a/crates/bench/src/once.rs
+++ b/crates/bench/src/once.rs
@@ -21,7 +21,8 @@
 const BODY_BYTES: usize = 256;
 
 /// One measured size; times are nanoseconds a call, memory is bytes a key.
-#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Serialize)]
 struct Point {
     keys: u64,
     read_key: u128,
