Judge a target slow by two answers in a row and by more than 5 ms

Cause: tests/steer failed in 4 of 5 runs on a busy machine: all 40 requests went to the other zone. A farther target's time has its way taken off, so a quick answer counts as almost nothing, and three times almost nothing is soon exceeded; one late answer at the start did the same for seconds. Change: a target is slow only when its mean and its last two answers exceed the usual threefold and by 5 ms, about the way to the next zone. Ruled out: stale configuration (the view was in force) and the ejection of failing targets (no exchange had failed). Seen failing first: 80 of 1000 stayed in the zone without the gap, 1 of 100 with one answer. After: steer_pool 15 of 15; tests/steer 6 of 6 runs.

--- a/crates/core/src/steer/known.rs
+++ b/crates/core/src/steer/known.rs
@@ -16,6 +16,11 @@
 const WARM_UP: time::Duration = time::Duration::from_secs(10);
 const IDLE: time::Duration = time::Duration::from_mins(2);
 const SLOW_FACTOR: u32 = 3;
+
+/// Time above the usual, in microseconds, below which a target is not worth leaving a zone for.
+const SLOW_GAP: u32 = 5_000;
+/// Answers in a row that have to be slow.
+const SLOW_ANSWERS: usize = 2;
 const FORGET: time::Duration = time::Duration::from_secs(5);
 const SHED_PAUSE: time::Duration = time::Duration::from_millis(10);
 const MAX_SHED_PAUSE: time::Duration = time::Duration::from_secs(2);
@@ -37,6 +42,7 @@
     others: u32,
     reported: Option<instant::Instant>,
     service: mean::Mean,
+    recent: [u32; SLOW_ANSWERS],
     answered: instant::Instant,
     faults: decay::Decay,
     sheds: decay::Decay,
@@ -59,6 +65,7 @@
             others: 0,
             reported: None,
             service: mean::Mean::default(),
+            recent: [0; SLOW_ANSWERS],
             answered: now,
             faults: decay::Decay::default(),
             sheds: decay::Decay::default(),
@@ -161,11 +168,20 @@
             faults: self.faults.level(now),
             sheds: self.refusing(now),
             warmth: self.warmth(now),
-            is_slow: service / SLOW_FACTOR > usual,
+            is_slow: self.is_slow(service, usual),
             is_tried: false,
         }
     }
 
+    /// Returns whether the target is slower than the usual, in its mean and each of its last answers.
+    ///
+    /// One late answer alone may be the network's or this host's own fault.
+    fn is_slow(&self, service: u32, usual: u32) -> bool {
+        let quickest = self.recent.iter().copied().min().unwrap_or(0);
+        let time = service.min(quickest);
+        time / SLOW_FACTOR > usual && time - usual > SLOW_GAP
+    }
+
     /// Returns the time in which the target answered of late, in microseconds.
     #[must_use]
     pub fn pace(&self, now: instant::Instant) -> Option<u32> {
@@ -205,9 +221,12 @@
 
     fn time(&mut self, time: u64, now: instant::Instant) {
         if now.since(self.answered) > FORGET {
+            self.recent = [0; SLOW_ANSWERS];
             self.service.clear();
         }
         self.service.add(time);
+        self.recent.rotate_left(1);
+        self.recent[SLOW_ANSWERS - 1] = u32::try_from(time).unwrap_or(u32::MAX);
         self.answered = now;
     }
 
--- a/crates/core/tests/steer_pool.rs
+++ b/crates/core/tests/steer_pool.rs
@@ -356,6 +356,48 @@
     }
 }
 
+/// Times of a few milliseconds at most say nothing that is worth leaving the zone for.
+#[test]
+fn a_quick_target_of_the_own_zone_is_kept_although_a_farther_one_is_quicker() {
+    let mut pool = pool(&catalog(2, None), None, 0);
+    let mut own = 0;
+    for number in 0..1_000 {
+        let now = number * 10 * MILLI;
+        let steer::Choice::Target(index) = choose(&mut pool, number, now) else {
+            continue;
+        };
+        own += usize::from(index == 0);
+        let time = if index == 0 {
+            2 * MILLI
+        } else {
+            6 * MILLI + 300
+        };
+        pool.start(index, at(now));
+        let end = steer::End::Answered(time);
+        pool.end(index, end, steer::Word::default(), at(now + time));
+    }
+    assert!(own > 900, "{own} of 1000");
+}
+
+/// One late answer may be the network's fault, and costs the own zone nothing.
+#[test]
+fn one_late_answer_does_not_make_a_target_slow() {
+    let mut pool = pool(&catalog(2, None), None, 0);
+    let mut own = 0;
+    for number in 0..100 {
+        let now = number * 10 * MILLI;
+        let steer::Choice::Target(index) = choose(&mut pool, number, now) else {
+            continue;
+        };
+        own += usize::from(index == 0);
+        let time = if number == 0 { 100 * MILLI } else { MILLI };
+        pool.start(index, at(now));
+        let end = steer::End::Answered(time + u64::from(index) * 6 * MILLI);
+        pool.end(index, end, steer::Word::default(), at(now + time));
+    }
+    assert!(own > 90, "{own} of 100");
+}
+
 /// A time learnt in a bad moment does not refuse tight deadlines for ever.
 #[test]
 fn tight_deadlines_are_tried_again_after_a_slow_time() {
--- a/tests/steer.rs
+++ b/tests/steer.rs
@@ -31,7 +31,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_target_gets_no_new_work_and_comes_back() {
     let fleet = common::Fleet::start(&common::ZONES[..1]).await;
-    assert!(served(&fleet, 40).await.contains_key("target-0"));
+    let first = served(&fleet, 40).await;
+    assert!(first.contains_key("target-0"), "{first:?}");
     fleet.apply("schema: 1\ndrain: {name: d, subject: {target: target-0}}\n");
     tokio::time::sleep(SETTLE).await;
     let counts = served(&fleet, 100).await;
