See crashes after the caller gave up, and closed connections to homes

Cause: an exchange ended with its caller's wait, so a request that crashes its target later than that was never counted; and a first attempt passed over a connection that had closed with its home was called unknown.

Change: each exchange runs in a task; when its caller's time is over, or the caller went away, it is watched for 200 ms more if no target has answered the fingerprint lately, and closed at once otherwise. A closed connection to a home is opened again before anything is sent.

The stand-in's crash now also comes when the caller has gone.

--- a/crates/core/src/quarantine/ward.rs
+++ b/crates/core/src/quarantine/ward.rs
@@ -186,7 +186,9 @@
         seen.any(|s| now.since(s.at) < pause)
     }
 
-    fn is_trusted(&self, now: instant::Instant, print: once::Print) -> bool {
+    /// Returns whether a target has answered the fingerprint lately.
+    #[must_use]
+    pub fn is_trusted(&self, now: instant::Instant, print: once::Print) -> bool {
         let known = self.trusted.get(&print).or_else(|| self.aged.get(&print));
         known.is_some_and(|until| now < *until)
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,16 +1,22 @@
 //! One exchange with a target.
 
+use std::sync;
+
 use http_body_util::BodyExt as _;
 use hyper::header;
 use skylark_core::name;
+use skylark_core::quarantine as wards;
 use skylark_core::record;
 use skylark_core::steer;
 use skylark_runtime::clock;
 use skylark_wire::header as names;
+use tokio::sync::oneshot;
 
 use super::answer;
 use super::exchange;
 use super::pool;
+use super::quarantine;
+use super::state;
 
 /// Why an exchange gave no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,10 +38,72 @@
 
 /// Sends the request to one target and waits for its whole answer.
 ///
+/// An exchange that is late, or whose caller went away, is watched a little longer where
+/// no target has answered its fingerprint yet: a crash that it causes is to be seen.
+///
 /// # Errors
 ///
 /// Fails with what is known of a start when no whole answer arrives in time.
 pub async fn send(
+    state: &sync::Arc<state::State>,
+    stay: quarantine::Stay,
+    target: &record::Target,
+    request: &exchange::Request,
+    account: Option<&name::Account>,
+) -> Result<exchange::Answer> {
+    let (sender, receiver) = oneshot::channel();
+    let watched = Watched {
+        state: sync::Arc::clone(state),
+        stay,
+        target: target.clone(),
+        request: request.clone(),
+        account: account.cloned(),
+    };
+    tokio::spawn(watched.run(sender));
+    match tokio::time::timeout(request.left(state.clock.now()), receiver).await {
+        Ok(result) => result.unwrap_or(Err(Failure::Unknown)),
+        Err(_elapsed) => Err(Failure::TimedOut),
+    }
+}
+
+/// An exchange that may outlive the wait of its caller.
+struct Watched {
+    state: sync::Arc<state::State>,
+    stay: quarantine::Stay,
+    target: record::Target,
+    request: exchange::Request,
+    account: Option<name::Account>,
+}
+
+impl Watched {
+    async fn run(self, mut sender: oneshot::Sender<Result<exchange::Answer>>) {
+        let pool = &self.state.pool;
+        let account = self.account.as_ref();
+        let clock = &self.state.clock;
+        let mut exchange = Box::pin(attempt(pool, &self.target, &self.request, account, clock));
+        let result = tokio::select! {
+            result = &mut exchange => result,
+            () = sender.closed() => {
+                let grace = tokio::time::timeout(self.stay.grace(), &mut exchange);
+                grace.await.unwrap_or(Err(Failure::TimedOut))
+            }
+        };
+        drop(exchange);
+        self.stay.end(ending(&result, &self.target.name));
+        let _unheard = sender.send(result);
+    }
+}
+
+/// Returns what an exchange tells of its request's fingerprint.
+fn ending(result: &Result<exchange::Answer>, target: &name::Target) -> wards::Ending {
+    match result {
+        Ok(_answer) => wards::Ending::Answered,
+        Err(Failure::Broken) => wards::Ending::Died(target.clone()),
+        Err(_other) => wards::Ending::Neither,
+    }
+}
+
+async fn attempt(
     pool: &pool::Pool,
     target: &record::Target,
     request: &exchange::Request,
@@ -52,10 +120,7 @@
     if left.is_zero() {
         return Err(Failure::NotStarted);
     }
-    match tokio::time::timeout(left, run(pool, target, request, sender, outgoing)).await {
-        Ok(result) => result,
-        Err(_elapsed) => Err(Failure::TimedOut),
-    }
+    run(pool, target, request, sender, outgoing).await
 }
 
 async fn run(
--- a/crates/entry/src/once/peers.rs
+++ b/crates/entry/src/once/peers.rs
@@ -20,7 +20,14 @@
 /// Connections to the entry processes of other hosts, by their life.
 #[derive(Debug, Default)]
 pub struct Peers {
-    clients: sync::Mutex<collections::HashMap<name::Incarnation, home::HomeClient>>,
+    clients: sync::Mutex<collections::HashMap<name::Incarnation, Peer>>,
+}
+
+/// A connection to another entry process, with the task that drives it.
+#[derive(Debug)]
+struct Peer {
+    client: home::HomeClient,
+    task: tokio::task::JoinHandle<()>,
 }
 
 /// How far a call to a home got.
@@ -83,15 +90,23 @@
     holder: &name::Incarnation,
     limit: time::Duration,
 ) -> Option<home::HomeClient> {
-    if let Some(client) = state.peers.lock().get(holder) {
-        return Some(client.clone());
+    if let Some(client) = state.peers.open(holder) {
+        return Some(client);
     }
     let address = address(state, holder)?;
     let connecting = tokio::time::timeout(limit, rpc::connect_compact(address));
     let transport = connecting.await.ok()?.ok()?;
-    let client = home::HomeClient::new(client::Config::default(), transport).spawn();
-    let mut clients = state.peers.lock();
-    Some(clients.entry(holder.clone()).or_insert(client).clone())
+    let opened = home::HomeClient::new(client::Config::default(), transport);
+    let task = tokio::spawn(async move {
+        let _closed = opened.dispatch.await;
+    });
+    let client = opened.client;
+    let peer = Peer {
+        client: client.clone(),
+        task,
+    };
+    state.peers.lock().insert(holder.clone(), peer);
+    Some(client)
 }
 
 fn address(state: &state::State, holder: &name::Incarnation) -> Option<record::Address> {
@@ -101,9 +116,14 @@
 }
 
 impl Peers {
-    fn lock(
-        &self,
-    ) -> sync::MutexGuard<'_, collections::HashMap<name::Incarnation, home::HomeClient>> {
+    /// Returns the client of a connection that is not known to be closed.
+    fn open(&self, holder: &name::Incarnation) -> Option<home::HomeClient> {
+        let peers = self.lock();
+        let peer = peers.get(holder)?;
+        (!peer.task.is_finished()).then(|| peer.client.clone())
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<name::Incarnation, Peer>> {
         self.clients
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -11,7 +11,6 @@
 use skylark_core::kind;
 use skylark_core::name;
 use skylark_core::once as rules;
-use skylark_core::quarantine as wards;
 use skylark_core::record;
 use skylark_core::steer;
 use skylark_wire::header;
@@ -203,12 +202,11 @@
         let seat = take(state, service, account, request, &tried, trace).await?;
         let begun = state.clock.now();
         let target = seat.target.clone();
-        let result = forward::send(&state.pool, &target, request, account, &state.clock).await;
+        let result = forward::send(state, stay, &target, request, account).await;
         let spent = state.clock.now().since(begun);
         trace.sent(&target.name, &result, spent);
         let (end, word) = seen(&result, spent);
         seat.end(end, word);
-        stay.end(ending(&result, &target.name));
         match result {
             Ok(answer) => {
                 state.balance.succeed();
@@ -278,12 +276,3 @@
         Err(_failure) => (steer::End::Failed, silent),
     }
 }
-
-/// Returns what an exchange tells of its request's fingerprint.
-fn ending(result: &forward::Result<exchange::Answer>, target: &name::Target) -> wards::Ending {
-    match result {
-        Ok(_answer) => wards::Ending::Answered,
-        Err(forward::Failure::Broken) => wards::Ending::Died(target.clone()),
-        Err(_other) => wards::Ending::Neither,
-    }
-}
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -16,6 +16,7 @@
 use super::once;
 use super::state;
 
+const GRACE: time::Duration = time::Duration::from_millis(200);
 const PROBE_LIMIT: time::Duration = time::Duration::from_millis(800);
 const PROBE_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -227,6 +228,17 @@
         }
     }
 
+    /// Returns how long a late exchange is watched, to see whether its target dies.
+    #[must_use]
+    pub fn grace(&self) -> time::Duration {
+        let now = self.state.clock.now();
+        if self.state.ward.lock().is_trusted(now, self.print) {
+            time::Duration::ZERO
+        } else {
+            GRACE
+        }
+    }
+
     /// Takes in how the exchange ended and tells other hosts of a death.
     pub fn end(mut self, ending: quarantine::Ending) {
         if !matches!(ending, quarantine::Ending::Died(_)) {
--- a/crates/standin/src/target/serve.rs
+++ b/crates/standin/src/target/serve.rs
@@ -96,7 +96,7 @@
 }
 
 async fn work(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     faults: &fault::Faults,
     head: &hyper::http::request::Parts,
     body: &Bytes,
@@ -109,11 +109,11 @@
         .and_then(|value| value.to_str().ok());
     let label = format!("{} {path}", head.method);
     state.count_start(key.unwrap_or(&label));
+    let span = state.work + time::Duration::from_millis(faults.slow_millis);
     if faults.crash_path.as_deref() == Some(path) {
-        state.crash();
+        crash_after(state, span).await;
         return Err(Gone);
     }
-    let span = state.work + time::Duration::from_millis(faults.slow_millis);
     if !span.is_zero() {
         tokio::time::sleep(span).await;
     }
@@ -123,6 +123,16 @@
     Ok(finish(state, faults, head, body))
 }
 
+/// Crashes the target after a time, also when the caller has gone away meanwhile.
+async fn crash_after(state: &sync::Arc<state::State>, span: time::Duration) {
+    let state = sync::Arc::clone(state);
+    let crash = tokio::spawn(async move {
+        tokio::time::sleep(span).await;
+        state.crash();
+    });
+    let _crashed = crash.await;
+}
+
 fn finish(
     state: &state::State,
     faults: &fault::Faults,
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -81,7 +81,7 @@
     let mut fleet = common::Fleet::start(&common::ZONES[..2]).await;
     let done = key(&fleet, 0, "done").await;
     let fresh = key(&fleet, 0, "fresh").await;
-    let first = fleet.order(&fleet.hosts[0], &done, 1).await;
+    let first = fleet.order(&fleet.hosts[1], &done, 1).await;
     let first = first.expect("an answer");
     assert_eq!(first.status, 200);
     tokio::time::sleep(COPY_TIME).await;
@@ -236,3 +236,24 @@
     println!("crashes {crashes}, bound {most}");
     assert!((1..=most).contains(&crashes), "{crashes}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_after_the_caller_gave_up_counts_too() {
+    let fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    for target in 0..common::TARGETS {
+        let faults = serde_json::json!({
+            "crash_path": "/stock/poison", "crash_millis": 20, "slow_millis": 60,
+        });
+        fleet.target_faults(target, &faults).await;
+    }
+    let bearer = format!("Bearer {}", common::KEY);
+    let headers = [("authorization", bearer.as_str()), (header::TIMEOUT, "30")];
+    for round in 0..12 {
+        let host = &fleet.hosts[round % fleet.hosts.len()];
+        let reply = fleet.call(host, "GET", "/stock/poison", &headers).await;
+        assert!(reply.expect("an answer").status >= 400);
+        tokio::time::sleep(time::Duration::from_millis(150)).await;
+    }
+    let crashes = crashes(&fleet).await;
+    assert!((1..=2).contains(&crashes), "{crashes}");
+}
