--- a/tests/once.rs
+++ b/tests/once.rs
@@ -86,11 +86,11 @@
     assert_eq!(first.status, 200);
     tokio::time::sleep(COPY_TIME).await;
     fleet.hosts[0].kill();
+    let refused = fleet.order(&fleet.hosts[1], &fresh, 1).await;
+    assert_eq!(outcome(&refused.expect("an answer")), "not-run");
     let again = fleet.order(&fleet.hosts[1], &done, 2).await;
     let again = again.expect("an answer");
     assert_eq!((again.status, &again.body), (200, &first.body));
-    let refused = fleet.order(&fleet.hosts[1], &fresh, 1).await;
-    assert_eq!(outcome(&refused.expect("an answer")), "not-run");
     let later = fleet.order(&fleet.hosts[1], &fresh, 2).await;
     assert_eq!(outcome(&later.expect("an answer")), "unknown");
     assert_eq!(fleet.starts(&done).await, 1);
