Bound what the copies of ledgers cost the platform

Cause: each home wrote every 500 ms whatever the number of hosts (790 homes: 1,580 writes a second and more), and each resend after a home's death read all pages of its minute one after another.

Change: the time between copies grows with the known hosts (10 ms each, at least 500 ms: at most about 100 copies a second by all hosts), pages are read 32 at a time, and a reading serves all resends of its minute for 2 s.

--- a/crates/entry/src/once/copy.rs
+++ b/crates/entry/src/once/copy.rs
@@ -11,8 +11,10 @@
 
 use crate::state;
 
+/// Shortest time between copies.
 const FLUSH_PERIOD: time::Duration = time::Duration::from_millis(500);
-const RECALL_LIMIT: time::Duration = time::Duration::from_secs(1);
+/// Time between copies for each known host, which bounds the writes of all hosts together.
+const HOST_PERIOD: time::Duration = time::Duration::from_millis(10);
 const END_LIMIT: time::Duration = time::Duration::from_secs(3);
 const END_PAUSE: time::Duration = time::Duration::from_millis(100);
 
@@ -23,7 +25,9 @@
 /// Never fails: outcomes stay in memory, bounded, while the platform is away.
 pub async fn keep(state: sync::Arc<state::State>) -> io::Result<()> {
     loop {
-        tokio::time::sleep(FLUSH_PERIOD).await;
+        let hosts = u32::try_from(state.view().hosts.len()).unwrap_or(u32::MAX);
+        let period = HOST_PERIOD.saturating_mul(hosts).max(FLUSH_PERIOD);
+        tokio::time::sleep(period).await;
         flush(&state).await;
     }
 }
@@ -78,46 +82,17 @@
     }
 }
 
-/// Tells what became of a key from the copy of its home's ledger, if that can be read in time.
-pub async fn recall(
-    state: &state::State,
-    holder: &name::Incarnation,
-    key: &once::Key,
-    print: once::Print,
-    limit: time::Duration,
-) -> Option<once::Begin> {
-    let reading = read(state, holder, key);
-    let (pages, end) = tokio::time::timeout(limit.min(RECALL_LIMIT), reading)
-        .await
-        .ok()??;
-    once::recall(key, print, &pages, end)
-}
-
-/// Reads the end mark first: every page is older than it.
-async fn read(
-    state: &state::State,
-    holder: &name::Incarnation,
-    key: &once::Key,
-) -> Option<(Vec<once::Page>, Option<once::End>)> {
-    let end = state.platform.get(&end_name(holder)).await.ok()?;
-    let end = end.and_then(|body| serde_json::from_slice(&body).ok());
-    let folder = match key.home() {
-        Some(home) => folder(holder, home.generation()),
-        None => format!("once/{holder}/page"),
-    };
-    let names = state.platform.list(&format!("{folder}/")).await.ok()?;
-    let mut pages = Vec::new();
-    for name in names {
-        let body = state.platform.get(&name).await.ok()??;
-        pages.push(serde_json::from_slice(&body).ok()?);
-    }
-    Some((pages, end))
+/// Returns the prefix of the names of all pages of a process.
+pub fn root(holder: &name::Incarnation) -> String {
+    format!("once/{holder}/page/")
 }
 
-fn folder(holder: &name::Incarnation, generation: u64) -> String {
-    format!("once/{holder}/page/{generation}")
+/// Returns the prefix of the names of a generation's pages.
+pub fn folder(holder: &name::Incarnation, generation: u64) -> String {
+    format!("{}{generation}", root(holder))
 }
 
-fn end_name(holder: &name::Incarnation) -> String {
+/// Returns the name of the end mark.
+pub fn end_name(holder: &name::Incarnation) -> String {
     format!("once/{holder}/end")
 }
--- a/crates/entry/src/once/receive.rs
+++ b/crates/entry/src/once/receive.rs
@@ -8,9 +8,9 @@
 use skylark_wire::header;
 
 use super::claim;
-use super::copy;
 use super::message;
 use super::peers;
+use super::recall;
 use super::run;
 use crate::exchange;
 use crate::state;
@@ -89,7 +89,7 @@
     };
     let print = message::print(account.as_ref(), request);
     let left = request.left(state.clock.now());
-    if let Some(begin) = copy::recall(state, holder, key, print, left).await {
+    if let Some(begin) = recall::recall(state, holder, key, print, left).await {
         return message::outcome(&begin);
     }
     let refusal = exchange::Refusal::new(kind::ErrorKind::HomeUnreachable);
--- a/crates/entry/src/once/run.rs
+++ b/crates/entry/src/once/run.rs
@@ -6,8 +6,8 @@
 use skylark_core::name;
 use skylark_core::once;
 
-use super::copy;
 use super::message;
+use super::recall;
 use crate::exchange;
 use crate::pipeline;
 use crate::state;
@@ -57,7 +57,7 @@
         once::Begin::Stored => {
             let print = message::print(account.as_ref(), &request);
             let limit = request.left(state.clock.now());
-            let known = copy::recall(state, &state.incarnation, &key, print, limit).await;
+            let known = recall::recall(state, &state.incarnation, &key, print, limit).await;
             message::outcome(&known.unwrap_or(begin))
         }
         other => message::outcome(&other),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -36,6 +36,8 @@
     pub book: once::Book,
     /// Connections to the entry processes of other hosts.
     pub peers: once::Peers,
+    /// Copies of other ledgers that were read lately.
+    pub copies: once::Copies,
     /// What is known of requests that crash targets.
     pub ward: quarantine::Ward,
     /// What is known of targets.
@@ -63,6 +65,7 @@
         Ok(Self {
             book: once::Book::new(clock.wall()),
             peers: once::Peers::default(),
+            copies: once::Copies::default(),
             ward: quarantine::Ward::new(&incarnation),
             incarnation,
             clock,
