Check a key again directly before its request is sent

Cause: a key was checked when the head of its request arrived. A body that came later, a connection that took long, or an order that waited at a frozen home ran after the key was withdrawn and refused everywhere: both new tests were seen failing (200 OK for the late body; 1 start for the waiting order).

Change: the request keeps the digest of its key, also on the way to its home, and it is checked again after the connection to the target stands, before the first byte.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -6,6 +6,7 @@
 use skylark_core::instant;
 use skylark_core::kind;
 use skylark_core::name;
+use skylark_core::secret;
 
 /// A caller's request, read whole.
 #[derive(Clone, Debug)]
@@ -20,6 +21,8 @@
     pub headers: hyper::HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Digest of the caller's key, none on a route open to all.
+    pub credential: Option<secret::Digest>,
     /// When the caller stops waiting.
     pub deadline: instant::Instant,
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -29,6 +29,8 @@
 
 /// Sends the request to one target and waits for its whole answer.
 ///
+/// `is_allowed` is asked after the connection stands, directly before the first byte.
+///
 /// # Errors
 ///
 /// Fails with what is known of a start when no whole answer arrives in time.
@@ -38,6 +40,7 @@
     request: &exchange::Request,
     account: Option<&name::Account>,
     clock: &clock::Clock,
+    is_allowed: impl Fn() -> bool,
 ) -> Result<exchange::Answer> {
     let left = request.left(clock.now());
     let connecting = tokio::time::timeout(left, pool.take(target.address)).await;
@@ -46,7 +49,7 @@
     };
     let outgoing = outgoing(target, request, account);
     let left = request.left(clock.now());
-    if left.is_zero() {
+    if left.is_zero() || !is_allowed() {
         return Err(Failure::NotStarted);
     }
     match tokio::time::timeout(left, run(pool, target, request, sender, outgoing)).await {
--- a/crates/entry/src/identity.rs
+++ b/crates/entry/src/identity.rs
@@ -12,7 +12,16 @@
 
 const SCHEME: &str = "Bearer ";
 
-/// Returns the client account of the request's key, or none on a route open to all.
+/// The client account of a request and the digest of the key that names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// The client account.
+    pub account: name::Account,
+    /// Digest of the presented key.
+    pub credential: secret::Digest,
+}
+
+/// Returns the caller whom the request's key names, or none on a route open to all.
 ///
 /// # Errors
 ///
@@ -22,27 +31,58 @@
     route: &record::Route,
     headers: &hyper::HeaderMap,
     now: instant::Instant,
-) -> exchange::Result<Option<name::Account>> {
+) -> exchange::Result<Option<Caller>> {
     match route.access {
         record::Access::Open => Ok(None),
-        record::Access::Keyed => account(view, headers, now).map(Some),
+        record::Access::Keyed => caller(view, headers, now).map(Some),
     }
 }
 
-fn account(
+/// Checks a key again, directly before its request is sent to a target.
+///
+/// A request may have waited since its key was checked first: for its body, at
+/// its home, or in a process that was frozen.
+///
+/// # Errors
+///
+/// Refuses when the key was withdrawn meanwhile, or keys may be out of date.
+pub fn recheck(
+    view: &view::View,
+    credential: Option<secret::Digest>,
+    now: instant::Instant,
+) -> exchange::Result<()> {
+    match credential {
+        None => Ok(()),
+        Some(credential) => account(view, credential, now).map(|_account| ()),
+    }
+}
+
+fn caller(
     view: &view::View,
     headers: &hyper::HeaderMap,
     now: instant::Instant,
+) -> exchange::Result<Caller> {
+    let key = presented(headers);
+    let key = key.ok_or(exchange::Refusal::new(kind::ErrorKind::Unauthorized))?;
+    let credential = key.digest();
+    let account = account(view, credential, now)?;
+    Ok(Caller {
+        account,
+        credential,
+    })
+}
+
+fn account(
+    view: &view::View,
+    credential: secret::Digest,
+    now: instant::Instant,
 ) -> exchange::Result<name::Account> {
-    let unauthorized = exchange::Refusal::new(kind::ErrorKind::Unauthorized);
-    let Some(key) = presented(headers) else {
-        return Err(unauthorized);
-    };
     if !view.is_fresh(now) {
         return Err(exchange::Refusal::new(kind::ErrorKind::StaleKeys));
     }
-    let known = view.catalog.keys.get(&key.digest());
-    known.map(|key| key.account.clone()).ok_or(unauthorized)
+    let known = view.catalog.keys.get(&credential);
+    let account = known.map(|key| key.account.clone());
+    account.ok_or(exchange::Refusal::new(kind::ErrorKind::Unauthorized))
 }
 
 fn presented(headers: &hyper::HeaderMap) -> Option<secret::Secret> {
--- a/crates/entry/src/once/message.rs
+++ b/crates/entry/src/once/message.rs
@@ -30,6 +30,7 @@
         id: request.id.clone(),
         key: key.clone(),
         account: account.cloned(),
+        credential: request.credential,
         method: request.method.as_str().to_owned(),
         path: path(request).to_owned(),
         fields: fields.map(field).collect(),
@@ -46,6 +47,7 @@
         target: call.path.parse().ok()?,
         headers: headers(&call.fields),
         body: call.body.clone().into(),
+        credential: call.credential,
         deadline: now + time::Duration::from_micros(call.left_micros),
     })
 }
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -26,6 +26,7 @@
 use super::view;
 
 const BODY_LIMIT_BYTES: usize = 1024 * 1024;
+const NEWS_PAUSE: time::Duration = time::Duration::from_millis(10);
 const TARGETS_PER_REQUEST: usize = 3;
 
 /// Answers one request of a caller.
@@ -102,7 +103,7 @@
     }
     let place = view.catalog.route(head.method.as_str(), head.uri.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
-    let account = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
+    let caller = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
     let limit = timeout(&head.headers, place.service)?;
     let body = read(body).await?;
     let request = exchange::Request {
@@ -111,9 +112,10 @@
         target: head.uri,
         headers: head.headers,
         body,
+        credential: caller.as_ref().map(|caller| caller.credential),
         deadline: arrived + limit,
     };
-    Ok((account, place, request))
+    Ok((caller.map(|caller| caller.account), place, request))
 }
 
 /// Runs a request that its idempotency key lets start.
@@ -184,7 +186,17 @@
         if request.left(state.clock.now()).is_zero() {
             return Err(exchange::Refusal::new(kind::ErrorKind::DeadlineUnmet));
         }
-        let result = forward::send(&state.pool, &target, request, account, &state.clock).await;
+        confirm(state, request).await?;
+        let is_allowed = || recheck(state, request).is_ok();
+        let sent = forward::send(
+            &state.pool,
+            &target,
+            request,
+            account,
+            &state.clock,
+            is_allowed,
+        );
+        let result = sent.await;
         drop(slot);
         stay.end(ending(&result, &target.name));
         match result {
@@ -202,6 +214,27 @@
     Err(exchange::Refusal::new(kind::ErrorKind::NoTarget))
 }
 
+/// Checks the request's key again, and waits for news while the records may be out of date.
+///
+/// A process that was frozen hears the newest records within moments.
+async fn confirm(state: &state::State, request: &exchange::Request) -> exchange::Result<()> {
+    loop {
+        match recheck(state, request) {
+            Err(refusal)
+                if refusal.kind == kind::ErrorKind::StaleKeys
+                    && !request.left(state.clock.now()).is_zero() =>
+            {
+                tokio::time::sleep(NEWS_PAUSE).await;
+            }
+            checked => return checked,
+        }
+    }
+}
+
+fn recheck(state: &state::State, request: &exchange::Request) -> exchange::Result<()> {
+    identity::recheck(&state.view(), request.credential, state.clock.now())
+}
+
 /// Returns what an exchange tells of its request's fingerprint.
 fn ending(result: &forward::Result<exchange::Answer>, target: &name::Target) -> wards::Ending {
     match result {
--- a/crates/steer/src/leases.rs
+++ b/crates/steer/src/leases.rs
@@ -1,21 +1,28 @@
 //! Contending for leases in the table and keeping them.
 
+use std::collections;
 use std::io;
 use std::sync;
+use std::time;
 
+use skylark_core::instant;
 use skylark_core::lease;
 use skylark_core::name;
-use skylark_core::record;
 use skylark_wire::platform;
 use skylark_wire::platform::Platform as _;
 
 use super::gossip;
+use super::known;
 use super::state;
 use super::table;
 
 const LEASE_PREFIX: &str = "lease/";
+const READ_PAUSE: time::Duration = time::Duration::from_secs(1);
 const REGION_PREFIX: &str = "region-";
 
+/// When each lease was read last.
+type Reads = collections::BTreeMap<String, instant::Instant>;
+
 /// Contends for the lease of this host's region and for each that another task asks about.
 ///
 /// # Errors
@@ -23,8 +30,9 @@
 /// Never fails: a lease that cannot be written is tried again after the pause.
 pub async fn run(state: sync::Arc<state::State>) -> io::Result<()> {
     let mut epoch = 0;
+    let mut reads = Reads::new();
     loop {
-        if let Some(region) = state.with(|known| region(&known.records, &state.settings.zone)) {
+        if let Some(region) = state.with(|known| contended(known, &state.settings.zone)) {
             let tenure = state.tenure(&format!("{REGION_PREFIX}{region}"));
             if tenure.epoch != epoch {
                 epoch = tenure.epoch;
@@ -33,7 +41,7 @@
         }
         let leases: Vec<String> = state.with(|known| known.seats.keys().cloned().collect());
         for lease in leases {
-            if let Err(error) = step(&state, &lease).await {
+            if let Err(error) = step(&state, &lease, &mut reads).await {
                 log::debug!(lease = lease.as_str(), error:% = error; "lease not reached");
             }
         }
@@ -41,20 +49,28 @@
     }
 }
 
-fn region(records: &[record::Document], zone: &name::Zone) -> Option<name::Region> {
-    let mut regions = records.iter().filter_map(|d| d.region.as_ref());
+/// Returns the region for whose lease this process contends, if it is a member.
+fn contended(known: &known::Known, zone: &name::Zone) -> Option<name::Region> {
+    if !known.node.is_member() {
+        return None;
+    }
+    let mut regions = known.records.iter().filter_map(|d| d.region.as_ref());
     let region = regions.find(|region| region.zones.contains(zone))?;
     Some(region.name.clone())
 }
 
-async fn step(state: &state::State, lease: &str) -> platform::Result<()> {
+async fn step(state: &state::State, lease: &str, reads: &mut Reads) -> platform::Result<()> {
     let now = state.clock.now();
     let action = state.with(|known| {
         let roster = known.node.roster().clone();
         known.seat(lease).decide(&roster, now)
     });
     match action {
-        lease::Action::Wait | lease::Action::Read => read(state, lease).await,
+        lease::Action::Wait if !table::is_due(reads.get(lease).copied(), READ_PAUSE, now) => Ok(()),
+        lease::Action::Wait | lease::Action::Read => {
+            reads.insert(lease.to_owned(), now);
+            read(state, lease).await
+        }
         lease::Action::Bar(version) => {
             bar(state, lease, version).await;
             read(state, lease).await
--- a/crates/wire/src/home.rs
+++ b/crates/wire/src/home.rs
@@ -4,6 +4,7 @@
 use skylark_core::name;
 use skylark_core::once;
 use skylark_core::quarantine;
+use skylark_core::secret;
 
 /// The service that an entry process offers to those of other hosts.
 #[tarpc::service]
@@ -25,6 +26,8 @@
     pub key: once::Key,
     /// Client account that the receiver found, none on a route open to all.
     pub account: Option<name::Account>,
+    /// Digest of the caller's key, which the home checks again before it starts the request.
+    pub credential: Option<secret::Digest>,
     /// HTTP method.
     pub method: String,
     /// Path and query.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -371,11 +371,21 @@
         self.http.call(request).await.ok()
     }
 
-    /// Applies records with the operator's command line.
+    /// Applies records with the operator's command line, and waits until they are in force.
     pub fn apply(&self, text: &str) {
+        self.apply_with(text, &[]);
+    }
+
+    /// Applies records with the operator's command line, which does not wait for the hosts.
+    pub fn apply_at_once(&self, text: &str) {
+        self.apply_with(text, &["--wait", "0s"]);
+    }
+
+    fn apply_with(&self, text: &str, flags: &[&str]) {
         let path = self.folder.path().join("records.yaml");
         fs::write(&path, text).expect("records are written");
-        let output = self.skylark(&["apply", path.to_str().expect("a path in UTF-8")]);
+        let path = path.to_str().expect("a path in UTF-8");
+        let output = self.skylark(&[&["apply", path], flags].concat());
         assert!(
             output.status.success(),
             "{}",
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
 use std::process;
 use std::time;
 
@@ -122,7 +125,7 @@
     fleet.cut_platform(0);
     fleet.cut_peers();
     let cut = time::Instant::now();
-    fleet.apply(&withdrawn());
+    fleet.apply_at_once(&withdrawn());
     tokio::time::sleep(BOUND.saturating_sub(cut.elapsed())).await;
     assert_eq!(keyed(&fleet, 0).await, (503, "stale-keys".to_owned()));
     assert_eq!(keyed(&fleet, 1).await, (401, "unauthorized".to_owned()));
@@ -148,7 +151,7 @@
     let fleet = common::Fleet::start(&common::ZONES[..3]).await;
     settle(&fleet).await;
     expect_all(&fleet, STEP, &[0, 1, 2], 200).await;
-    fleet.apply(&withdrawn());
+    fleet.apply_at_once(&withdrawn());
     let accepted = time::Instant::now();
     for host in 0..3 {
         while keyed(&fleet, host).await.0 == 200 {
@@ -163,7 +166,7 @@
     let fleet = common::Fleet::start(&common::ZONES[..3]).await;
     settle(&fleet).await;
     fleet.cut_platform(0);
-    fleet.apply(&withdrawn());
+    fleet.apply_at_once(&withdrawn());
     let accepted = time::Instant::now();
     while keyed(&fleet, 0).await != (401, "unauthorized".to_owned()) {
         assert!(accepted.elapsed() < BOUND, "{:?}", keyed(&fleet, 0).await);
@@ -174,7 +177,7 @@
 async fn no_version_goes_back_when_every_host_is_restarted() {
     let mut fleet = common::Fleet::start(&common::ZONES[..3]).await;
     settle(&fleet).await;
-    fleet.apply(&withdrawn());
+    fleet.apply_at_once(&withdrawn());
     expect_soon(&fleet, 401).await;
     for host in &mut fleet.hosts {
         host.kill();
@@ -234,7 +237,7 @@
     settle(&fleet).await;
     signal(&fleet.hosts[0].steer, "STOP");
     signal(&fleet.hosts[0].entry, "STOP");
-    fleet.apply(&withdrawn());
+    fleet.apply_at_once(&withdrawn());
     tokio::time::sleep(BOUND).await;
     signal(&fleet.hosts[0].entry, "CONT");
     expect_all(&fleet, BOUND, &[0], 503).await;
@@ -352,3 +355,62 @@
         .await;
     expect_all(&fleet, BOUND * 2, &[other, 2, 3], 200).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_comes_after_its_key_was_withdrawn_runs_nothing() {
+    let fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    settle(&fleet).await;
+    let host = &fleet.hosts[0];
+    let address = host.entry_url("").replace("http://", "");
+    let mut stream = net::TcpStream::connect(address).expect("a connection");
+    let head = format!(
+        "GET /stock/slow HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         {}: 60000\r\ncontent-length: 4\r\nconnection: close\r\n\r\n",
+        common::KEY,
+        header::TIMEOUT
+    );
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    fleet.apply_at_once(&withdrawn());
+    expect_soon(&fleet, 401).await;
+    stream.write_all(b"body").expect("the body is sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    assert!(answer.contains("not-run"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_that_waits_at_a_frozen_home_does_not_outlive_its_key() {
+    let fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    settle(&fleet).await;
+    let home = fleet.lookup(&fleet.hosts[1]).await["home"].clone();
+    let key = format!("{}.late", home.as_str().expect("a home"));
+    let warm = format!("{}.warm", home.as_str().expect("a home"));
+    let reply = fleet.order(&fleet.hosts[0], &warm, 1).await;
+    assert_eq!(reply.expect("an answer").status, 200);
+    signal(&fleet.hosts[1].entry, "STOP");
+    let (bearer, attempt) = (format!("Bearer {}", common::KEY), "1".to_owned());
+    let headers = [
+        ("authorization", bearer.as_str()),
+        (header::IDEMPOTENCY_KEY, key.as_str()),
+        (header::ATTEMPT, attempt.as_str()),
+        (header::TIMEOUT, "60000"),
+    ];
+    let late = async {
+        let sent = fleet.call(&fleet.hosts[0], "POST", "/orders", &headers);
+        tokio::time::timeout(BOUND * 15, sent).await
+    };
+    let wake = async {
+        tokio::time::sleep(STEP * 4).await;
+        fleet.apply_at_once(&withdrawn());
+        tokio::time::sleep(BOUND).await;
+        signal(&fleet.hosts[1].entry, "CONT");
+    };
+    let (_answer, ()) = tokio::join!(late, wake);
+    expect_soon(&fleet, 401).await;
+    assert_eq!(
+        fleet.starts(&key).await,
+        0,
+        "the order ran under a withdrawn key"
+    );
+}
