--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,9 @@
 //! Experiments and benchmarks on the decisions, one module an experiment.
 
+mod budgets;
 mod decision;
 mod error;
+mod once;
 pub mod options;
 
 pub use error::{Error, Result};
@@ -14,6 +16,8 @@
 pub fn run() -> Result<()> {
     let options = options::Options::from_args()?;
     match options.experiment {
+        options::Experiment::Budgets => budgets::run(&options),
         options::Experiment::Decision => decision::run(&options),
+        options::Experiment::Once => once::run(&options),
     }
 }
