--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -223,8 +223,8 @@
                 return Ok(answer);
             }
             Err(forward::Failure::Withheld) => {
-                let stale = exchange::Refusal::new(kind::ErrorKind::StaleKeys);
-                let refusal = recheck(state, request).err().unwrap_or(stale);
+                let unsure = exchange::Refusal::new(kind::ErrorKind::StaleKeys);
+                let refusal = recheck(state, request).err().unwrap_or(unsure);
                 return Err(trace.check(refusal));
             }
             Err(forward::Failure::NotStarted | forward::Failure::Shed(_)) => {
