--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -6,6 +6,8 @@
 pub fn init(process: &'static str) {
     let filter = env_logger::Env::new().filter_or("SKYLARK_LOG", "info");
     let mut builder = env_logger::Builder::from_env(filter);
+    // The library logs each call, and its timeouts as errors; the callers log what matters.
+    builder.filter_module("tarpc", log::LevelFilter::Off);
     builder.format(move |out, record| {
         write!(
             out,
