Take callers' keys out of the query and of every header

Cause: only Authorization and Cookie were dropped, so a key in the query, in Proxy-Authorization or in another header reached targets, and would have gone on to homes.

Change: the presented key, as it stands or percent-encoded, and any known key of 16 bytes or more are taken out of query and headers once the caller is known, before anything else sees the request; a path that holds the key is refused. Not searched: bodies.

A test sends keys in every such place and searches what a target received, the entry process's log at trace, its metrics, the table, the objects and the answers. Without the change the target received 'GET /spied/a?key=...'.

--- a/crates/entry/src/identity.rs
+++ b/crates/entry/src/identity.rs
@@ -64,7 +64,7 @@
 ) -> exchange::Result<Caller> {
     let key = presented(headers);
     let key = key.ok_or(exchange::Refusal::new(kind::ErrorKind::Unauthorized))?;
-    let credential = key.digest();
+    let credential = secret::Secret::new(key).digest();
     let account = account(view, credential, now)?;
     Ok(Caller {
         account,
@@ -85,11 +85,10 @@
     account.ok_or(exchange::Refusal::new(kind::ErrorKind::Unauthorized))
 }
 
-fn presented(headers: &hyper::HeaderMap) -> Option<secret::Secret> {
+/// Returns the key that a request presents.
+pub fn presented(headers: &hyper::HeaderMap) -> Option<&str> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
     let scheme = value.get(..SCHEME.len())?;
     let key = value.get(SCHEME.len()..)?;
-    scheme
-        .eq_ignore_ascii_case(SCHEME)
-        .then(|| secret::Secret::new(key))
+    scheme.eq_ignore_ascii_case(SCHEME).then_some(key)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod pipeline;
 mod pool;
 mod quarantine;
+mod scrub;
 mod serve;
 mod settings;
 mod state;
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -24,6 +24,7 @@
 use super::journal;
 use super::once;
 use super::quarantine;
+use super::scrub;
 use super::state;
 use super::view;
 
@@ -99,7 +100,7 @@
     view: &'a view::View,
     id: &str,
     arrived: instant::Instant,
-    head: hyper::http::request::Parts,
+    mut head: hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> exchange::Result<(Option<name::Account>, catalog::Place<'a>, exchange::Request)> {
     if !view.is_ready() {
@@ -108,6 +109,7 @@
     let place = view.catalog.route(head.method.as_str(), head.uri.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
     let caller = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
+    scrub::scrub(&mut head, &view.catalog)?;
     let limit = timeout(&head.headers, place)?;
     let body = read(body).await?;
     let request = exchange::Request {
