--- a/tests/config.rs
+++ b/tests/config.rs
@@ -414,3 +414,15 @@
         "the order ran under a withdrawn key"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_second_control_process_starts_beside_a_frozen_one() {
+    let fleet = common::Fleet::start(&common::ZONES[..1]).await;
+    signal(&fleet.hosts[0].steer, "STOP");
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_skylark-steer"));
+    command.arg(&fleet.hosts[0].steer_settings);
+    let output = command.output().expect("it ends");
+    assert!(!output.status.success());
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(said.contains("8003"), "{said}");
+}
