--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -92,9 +92,11 @@
     ) {
         let end = match result {
             Ok(answer) => decision::Sent::Answered(answer.status.as_u16()),
-            Err(forward::Failure::NotStarted | forward::Failure::Shed(_)) => {
-                decision::Sent::NotStarted
-            }
+            Err(
+                forward::Failure::NotStarted
+                | forward::Failure::Shed(_)
+                | forward::Failure::Withheld,
+            ) => decision::Sent::NotStarted,
             Err(forward::Failure::Broken | forward::Failure::Unknown) => decision::Sent::Broken,
             Err(forward::Failure::TimedOut) => decision::Sent::Expired,
         };
