--- a/crates/cli/src/files.rs
+++ b/crates/cli/src/files.rs
@@ -1,5 +1,6 @@
 //! Reading files of records, all faults at once.
 
+use std::collections;
 use std::fmt;
 use std::fs;
 use std::path;
@@ -96,8 +97,11 @@
             .iter()
             .map(|origin| origin.source.document.clone())
             .collect();
-        let ids: Vec<Option<String>> = documents.iter().map(record::Document::id).collect();
-        let kept = others.filter(|other| !ids.contains(&other.id())).cloned();
+        let ids: collections::BTreeSet<String> =
+            documents.iter().filter_map(record::Document::id).collect();
+        let kept = others
+            .filter(|other| other.id().is_none_or(|id| !ids.contains(&id)))
+            .cloned();
         let good = documents.iter().cloned().chain(kept);
         let all: Vec<record::Document> = good.chain(self.mended.iter().cloned()).collect();
         let mut faults = self.faults.clone();
