--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,13 +3,17 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "decision";
+pub const NAMES: &str = "budgets, decision, once";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experiment {
+    /// Ways of keeping one budget over all entry hosts.
+    Budgets,
     /// Cost of reading the route of a request.
     Decision,
+    /// Cost of the ledger of idempotency keys.
+    Once,
 }
 
 /// What to run and how to print it.
@@ -39,7 +43,9 @@
             optional --seed seed: u64
         };
         let experiment = match flags.name.as_str() {
+            "budgets" => Experiment::Budgets,
             "decision" => Experiment::Decision,
+            "once" => Experiment::Once,
             _ => return Err(error::Error::Unknown(flags.name)),
         };
         Ok(Self {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -94,6 +94,27 @@
     expect_all(&fleet, BOUND * 3, &[0, 1, 2], 200).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn one_frozen_host_of_four_closes_no_other_in_a_store_outage() {
+    let fleet = common::Fleet::start(&common::ZONES).await;
+    settle(&fleet).await;
+    fleet
+        .platform_faults(&serde_json::json!({"down": true}))
+        .await;
+    signal(&fleet.hosts[3].steer, "STOP");
+    expect_all(&fleet, BOUND * 3, &[0, 1, 2], 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_store_closes_nothing() {
+    let fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    fleet
+        .platform_faults(&serde_json::json!({"slow_millis": 1_800}))
+        .await;
+    expect_all(&fleet, BOUND * 3, &[0, 1, 2], 200).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_cut_from_store_and_peers_refuses_keyed_routes_and_serves_open_ones() {
     let fleet = common::Fleet::start(&common::ZONES[..2]).await;
@@ -242,3 +263,92 @@
         })
         .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_host_is_named_no_more_and_one_missing_from_the_list_still_is() {
+    let fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    let list = serde_json::json!([
+        {"name": "host-0", "zone": "east-a", "state": "live"},
+        {"name": "host-1", "zone": "east-b", "state": "leaving"},
+    ]);
+    let url = format!("{}/hosts", fleet.platform);
+    let body = list.to_string().into_bytes();
+    let reply = fleet.http.send("PUT", &url, body).await;
+    assert_eq!(reply.expect("the platform hears").status, 200);
+    fleet
+        .wait(
+            "the leaving host to be left out",
+            async |fleet: &common::Fleet| {
+                let mut named = fleet.named(&fleet.hosts[0]).await;
+                named.sort();
+                named == ["host-0", "host-2"]
+            },
+        )
+        .await;
+    expect_all(&fleet, BOUND, &[0, 1, 2], 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_a_whole_host_cuts_no_request_and_leaves_the_roster() {
+    let mut fleet = common::Fleet::start(&common::ZONES[..3]).await;
+    settle(&fleet).await;
+    for child in [
+        &fleet.hosts[1].entry,
+        &fleet.hosts[1].lookup,
+        &fleet.hosts[1].steer,
+    ] {
+        signal(child, "TERM");
+    }
+    // The longest cached answer names the host for the answers' time to live, 1 s.
+    expect_all(&fleet, time::Duration::from_millis(900), &[0, 1, 2], 200).await;
+    fleet
+        .wait(
+            "the roster without the host",
+            async |fleet: &common::Fleet| {
+                let roster = row(fleet, "roster").await;
+                let members = roster["value"]["members"].as_array().map(Vec::len);
+                let past = roster["value"]["past"].as_array().map(Vec::len);
+                members == Some(2) && past == Some(0)
+            },
+        )
+        .await;
+    let host = &mut fleet.hosts[1];
+    for child in [&mut host.entry, &mut host.lookup, &mut host.steer] {
+        assert!(child.wait().expect("an exit").success());
+    }
+    expect_all(&fleet, BOUND, &[0, 2], 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_goes_on_with_its_second_host_when_its_member_dies() {
+    let zones = ["east-a", "east-a", "west-a", "west-a"];
+    let mut fleet = common::Fleet::start(&zones).await;
+    let member = async |fleet: &common::Fleet| {
+        let roster = row(fleet, "roster").await;
+        let members = roster["value"]["members"]
+            .as_array()
+            .cloned()
+            .unwrap_or_default();
+        let mut east = members.iter().filter(|m| m["zone"] == "east-a");
+        east.next()
+            .and_then(|m| Some(m["host"].as_str()?.to_owned()))
+    };
+    let before = member(&fleet).await.expect("a member of the zone");
+    let dead = usize::from(before == "host-1");
+    let other = 1 - dead;
+    fleet.hosts[dead].kill();
+    expect_all(&fleet, BOUND * 2, &[other, 2, 3], 200).await;
+    fleet
+        .wait(
+            "the second host in the roster",
+            async |fleet: &common::Fleet| {
+                member(fleet).await.as_deref() == Some(fleet.hosts[other].name.as_str())
+            },
+        )
+        .await;
+    fleet
+        .platform_faults(&serde_json::json!({"down": true}))
+        .await;
+    expect_all(&fleet, BOUND * 2, &[other, 2, 3], 200).await;
+}
