Name the account in decisions on refusals over the rate

The measure of refusals within the rate could not be told by account. Change: the refusal begins and ends a trace of its own. tests/burn.rs was seen failing first (waited 20 s for the counts), and passes.

--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -87,7 +87,7 @@
     if !place.route.idempotent {
         return once::receive(state, account, request).await;
     }
-    admit(state, account.as_ref())?;
+    admit(state, place, account.as_ref(), &request)?;
     run(state, place, account.as_ref(), &request).await
 }
 
@@ -134,15 +134,27 @@
         .catalog
         .route(request.method.as_str(), request.target.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
-    admit(state, account)?;
+    admit(state, place, account, request)?;
     run(state, place, account, request).await
 }
 
-fn admit(state: &state::State, account: Option<&name::Account>) -> exchange::Result<()> {
-    match account {
-        Some(account) => state.admission.admit(account, state.clock.now()),
-        None => Ok(()),
-    }
+/// Admits a request within its account's rate; the decision on a refusal names the account.
+fn admit(
+    state: &state::State,
+    place: catalog::Place<'_>,
+    account: Option<&name::Account>,
+    request: &exchange::Request,
+) -> exchange::Result<()> {
+    let Some(account) = account else {
+        return Ok(());
+    };
+    let admitted = state.admission.admit(account, state.clock.now());
+    admitted.map_err(|refusal| {
+        let mut trace = journal::Trace::new(state, place.service, Some(account), request);
+        let refusal = trace.check(refusal);
+        trace.finish(state, &Err(refusal.clone()));
+        refusal
+    })
 }
 
 fn timeout(
