--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -14,6 +14,7 @@
 
 use super::answer;
 use super::exchange;
+use super::identity;
 use super::pool;
 use super::quarantine;
 use super::state;
@@ -25,6 +26,8 @@
     NotStarted,
     /// The target says that it did not start the request: another may.
     Shed(steer::Word),
+    /// The request was not allowed any more when the connection stood.
+    Withheld,
     /// The connection broke after the request may have been started.
     Broken,
     /// The target's answer cannot be trusted to be whole and the request's own.
@@ -41,6 +44,8 @@
 /// An exchange that is late, or whose caller went away, is watched a little longer where
 /// no target has answered its fingerprint yet: a crash that it causes is to be seen.
 ///
+/// The request's key is checked again after the connection stands, before the first byte.
+///
 /// # Errors
 ///
 /// Fails with what is known of a start when no whole answer arrives in time.
@@ -80,7 +85,12 @@
         let pool = &self.state.pool;
         let account = self.account.as_ref();
         let clock = &self.state.clock;
-        let mut exchange = Box::pin(attempt(pool, &self.target, &self.request, account, clock));
+        let is_allowed = || {
+            let credential = self.request.credential;
+            identity::recheck(&self.state.view(), credential, clock.now()).is_ok()
+        };
+        let exchange = attempt(pool, &self.target, &self.request, account, clock, is_allowed);
+        let mut exchange = Box::pin(exchange);
         let result = tokio::select! {
             result = &mut exchange => result,
             () = sender.closed() => {
@@ -109,6 +119,7 @@
     request: &exchange::Request,
     account: Option<&name::Account>,
     clock: &clock::Clock,
+    is_allowed: impl Fn() -> bool,
 ) -> Result<exchange::Answer> {
     let left = request.left(clock.now());
     let connecting = tokio::time::timeout(left, pool.take(target.address)).await;
@@ -120,6 +131,9 @@
     if left.is_zero() {
         return Err(Failure::NotStarted);
     }
+    if !is_allowed() {
+        return Err(Failure::Withheld);
+    }
     run(pool, target, request, sender, outgoing).await
 }
 
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -23,10 +23,13 @@
 use super::journal;
 use super::once;
 use super::quarantine;
+use super::scrub;
 use super::state;
 use super::view;
 
 const BODY_LIMIT_BYTES: usize = 1024 * 1024;
+/// Pause between two checks of a key while the records may be out of date.
+const NEWS_PAUSE: time::Duration = time::Duration::from_millis(10);
 /// Time after which batch work without a deadline is given up.
 const BATCH_LIMIT: time::Duration = time::Duration::from_mins(5);
 
@@ -86,7 +89,7 @@
     if !place.route.idempotent {
         return once::receive(state, account, request).await;
     }
-    admit(state, account.as_ref())?;
+    admit(state, place, account.as_ref(), &request)?;
     run(state, place, account.as_ref(), &request).await
 }
 
@@ -96,7 +99,7 @@
     view: &'a view::View,
     id: &str,
     arrived: instant::Instant,
-    head: hyper::http::request::Parts,
+    mut head: hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> exchange::Result<(Option<name::Account>, catalog::Place<'a>, exchange::Request)> {
     if !view.is_ready() {
@@ -104,7 +107,8 @@
     }
     let place = view.catalog.route(head.method.as_str(), head.uri.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
-    let account = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
+    let caller = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
+    scrub::scrub(&mut head, &view.catalog)?;
     let limit = timeout(&head.headers, place)?;
     let body = read(body).await?;
     let request = exchange::Request {
@@ -113,9 +117,10 @@
         target: head.uri,
         headers: head.headers,
         body,
+        credential: caller.as_ref().map(|caller| caller.credential),
         deadline: arrived + limit,
     };
-    Ok((account, place, request))
+    Ok((caller.map(|caller| caller.account), place, request))
 }
 
 /// Runs a request that its idempotency key lets start.
@@ -133,15 +138,27 @@
         .catalog
         .route(request.method.as_str(), request.target.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
-    admit(state, account)?;
+    admit(state, place, account, request)?;
     run(state, place, account, request).await
 }
 
-fn admit(state: &state::State, account: Option<&name::Account>) -> exchange::Result<()> {
-    match account {
-        Some(account) => state.admission.admit(account, state.clock.now()),
-        None => Ok(()),
-    }
+/// Admits a request within its account's rate; the decision on a refusal names the account.
+fn admit(
+    state: &state::State,
+    place: catalog::Place<'_>,
+    account: Option<&name::Account>,
+    request: &exchange::Request,
+) -> exchange::Result<()> {
+    let Some(account) = account else {
+        return Ok(());
+    };
+    let admitted = state.admission.admit(account, state.clock.now());
+    admitted.map_err(|refusal| {
+        let mut trace = journal::Trace::new(state, place.service, Some(account), request);
+        let refusal = trace.check(refusal);
+        trace.finish(state, &Err(refusal.clone()));
+        refusal
+    })
 }
 
 fn timeout(
@@ -200,6 +217,8 @@
         let stay = quarantine::enter(state, print, request.deadline).await;
         let stay = stay.map_err(|refusal| trace.check(refusal))?;
         let seat = take(state, service, account, request, &tried, trace).await?;
+        let checked = confirm(state, request).await;
+        checked.map_err(|refusal| trace.check(refusal))?;
         let begun = state.clock.now();
         let target = seat.target.clone();
         let result = forward::send(state, stay, &target, request, account).await;
@@ -212,6 +231,11 @@
                 state.balance.succeed();
                 return Ok(answer);
             }
+            Err(forward::Failure::Withheld) => {
+                let unsure = exchange::Refusal::new(kind::ErrorKind::StaleKeys);
+                let refusal = recheck(state, request).err().unwrap_or(unsure);
+                return Err(trace.check(refusal));
+            }
             Err(forward::Failure::NotStarted | forward::Failure::Shed(_)) => {
                 tried.push(target.name);
             }
@@ -273,6 +297,28 @@
         }
         Err(forward::Failure::Shed(word)) => (steer::End::Shed, *word),
         Err(forward::Failure::TimedOut) => (steer::End::Expired(micros), silent),
+        Err(forward::Failure::Withheld) => (steer::End::Cancelled, silent),
         Err(_failure) => (steer::End::Failed, silent),
     }
 }
+
+/// Checks the request's key again, and waits for news while the records may be out of date.
+///
+/// A process that was frozen hears the newest records within moments.
+async fn confirm(state: &state::State, request: &exchange::Request) -> exchange::Result<()> {
+    loop {
+        match recheck(state, request) {
+            Err(refusal)
+                if refusal.kind == kind::ErrorKind::StaleKeys
+                    && !request.left(state.clock.now()).is_zero() =>
+            {
+                tokio::time::sleep(NEWS_PAUSE).await;
+            }
+            checked => return checked,
+        }
+    }
+}
+
+fn recheck(state: &state::State, request: &exchange::Request) -> exchange::Result<()> {
+    identity::recheck(&state.view(), request.credential, state.clock.now())
+}
