Admit requests from divided budgets in the entry process

The thin path's static split gives way to the holder of lent tokens and reserve slots; the control process that holds the lease 'budgets' is the owner, entry processes ask it directly and learn its address from their own control process. Slots are claimed in the table, each claim writing the ledger row too, so that claims never race. A host takes requests once its slots are in use, at the latest after 5 s. With Ask a request that is short also waits for its own slots. Seen failing before: path (callers_go_on_when_an_entry_host_dies) while hosts served before their slots were in use.

--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -37,8 +37,11 @@
 pub enum Verdict {
     /// All budgets have been charged.
     Admit,
-    /// Nothing was charged; the next answer of the owner may bring the tokens.
-    Ask,
+    /// Nothing was charged; the owner's next answer or time may bring the tokens.
+    Ask {
+        /// Time after which this host's own slots hold the tokens, if nothing else takes them.
+        retry: time::Duration,
+    },
     /// Nothing was charged and no tokens are in sight.
     Refuse {
         /// Time after which trying again may help.
@@ -63,6 +66,7 @@
     urgent: Option<instant::Instant>,
     trip: time::Duration,
     seen: instant::Instant,
+    freezes: u64,
     is_cut: bool,
 }
 
@@ -109,6 +113,7 @@
             urgent: Some(now),
             trip: time::Duration::ZERO,
             seen: now,
+            freezes: 0,
             is_cut: true,
         }
     }
@@ -119,6 +124,12 @@
         self.share
     }
 
+    /// Returns how often the process was frozen for too long and gave up its slots.
+    #[must_use]
+    pub const fn freezes(&self) -> u64 {
+        self.freezes
+    }
+
     /// Returns the index of a budget.
     #[must_use]
     pub fn index(&self, budget: u64) -> Option<usize> {
@@ -160,6 +171,7 @@
         if gap < self.timing.frozen {
             return false;
         }
+        self.freezes += 1;
         self.share = share::Share::NONE;
         for line in &mut self.lines {
             line.slot.resize(part::Part::ZERO, now);
@@ -234,7 +246,7 @@
         let due = line.dry.max(now);
         self.urgent = Some(self.urgent.map_or(due, |urgent| urgent.min(due)));
         match shortage {
-            record::Shortage::Ask if !is_cut => Verdict::Ask,
+            record::Shortage::Ask if !is_cut || retry < MAX_RETRY => Verdict::Ask { retry },
             record::Shortage::Ask | record::Shortage::Refuse => Verdict::Refuse { retry },
         }
     }
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -27,5 +27,5 @@
 pub use owner::{Owner, Reading};
 pub use part::Part;
 pub use share::Share;
-pub use slot::{Plan, Slot};
+pub use slot::{LEDGER_KEY, Ledger, Plan, SLOT_PREFIX, Slot};
 pub use timing::Timing;
--- a/crates/core/src/budget/owner.rs
+++ b/crates/core/src/budget/owner.rs
@@ -104,7 +104,8 @@
 impl Owner {
     /// Creates the owner of a new epoch, without tokens.
     ///
-    /// The tenure of the epoch before must have ended.
+    /// The loans of the epoch before must have ended: either its tenure has lapsed, or
+    /// it was given back for as long as [`timing::Timing::succession`] says.
     #[must_use]
     pub fn new(tenure: lease::Tenure, reading: Reading, timing: timing::Timing) -> Self {
         Self {
@@ -131,7 +132,7 @@
         if tenure.epoch != self.tenure.epoch {
             return;
         }
-        self.tenure.until = self.tenure.until.max(tenure.until);
+        self.tenure = tenure;
         if reading.until > self.reading.until {
             self.reading = reading;
         }
--- a/crates/core/src/budget/share.rs
+++ b/crates/core/src/budget/share.rs
@@ -37,6 +37,12 @@
         Self((self.0 + other.0).min(Self::WHOLE.0))
     }
 
+    /// Returns the difference, at least nothing.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
     /// Returns what this share leaves of the whole.
     #[must_use]
     pub const fn rest(self) -> Self {
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -8,9 +8,12 @@
 use crate::name;
 use crate::unit;
 
+/// Key of the ledger's row in the table.
+pub const LEDGER_KEY: &str = "budget/ledger";
+/// Prefix of the keys of claimed slots in the table.
+pub const SLOT_PREFIX: &str = "budget/slot/";
+
 /// The reserve of a deployment: how many slots each availability zone has, and their share.
-///
-/// The number of zones and slots must not change while any slot is claimed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Plan {
@@ -30,6 +33,37 @@
     }
 }
 
+/// The row that every change of claims writes, too, so that claims never race.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Ledger {
+    /// Sum of the claimed slots' shares.
+    pub claimed: share::Share,
+    /// Largest sum that claims may reach; it changes only while nothing is claimed.
+    pub limit: share::Share,
+}
+
+impl Ledger {
+    /// Returns the ledger after a claim, or nothing if the claim would exceed the limit.
+    #[must_use]
+    pub fn with_claim(self, claim: share::Share, reserve: unit::Percent) -> Option<Self> {
+        let reserve = share::Share::of_slot(reserve, 1);
+        let is_unused = self.claimed == share::Share::NONE;
+        let limit = if is_unused { reserve } else { self.limit };
+        let claimed = self.claimed.plus(claim);
+        (claimed <= limit.min(reserve)).then_some(Self { claimed, limit })
+    }
+
+    /// Returns the ledger after claims were freed.
+    #[must_use]
+    pub fn without_claim(self, claim: share::Share) -> Self {
+        Self {
+            claimed: self.claimed.minus(claim),
+            limit: self.limit,
+        }
+    }
+}
+
 /// A slot that an entry process has claimed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -47,6 +81,12 @@
 }
 
 impl Slot {
+    /// Returns the key of the slot's row in the table.
+    #[must_use]
+    pub fn key(&self) -> String {
+        format!("{SLOT_PREFIX}{}/{}", self.zone, self.number)
+    }
+
     /// Returns the sum of the shares of claimed slots.
     #[must_use]
     pub fn claimed(slots: &[Self]) -> share::Share {
--- a/crates/core/src/budget/timing.rs
+++ b/crates/core/src/budget/timing.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use super::amount;
+use crate::config;
 
 const MILLION: u64 = 1_000_000;
 
@@ -31,10 +32,10 @@
             tick: time::Duration::from_millis(100),
             resend: time::Duration::from_millis(250),
             horizon: time::Duration::from_millis(150),
-            life: time::Duration::from_secs(2),
-            reading: time::Duration::from_secs(3),
+            life: time::Duration::from_secs(1),
+            reading: time::Duration::from_millis(1_500),
             frozen: time::Duration::from_secs(5),
-            drift: 500,
+            drift: config::DRIFT_PPM,
         }
     }
 }
@@ -62,6 +63,12 @@
         time::Duration::from_micros(micros.scaled(factor, MILLION).as_micros() + 1)
     }
 
+    /// Returns the time from the end of an owner's tenure until its loans have surely ended.
+    #[must_use]
+    pub fn succession(&self) -> time::Duration {
+        self.lengthened(self.life)
+    }
+
     /// Returns the time from a slot's claim until it may be spent from.
     ///
     /// By then no owner relies on a reading from before the claim, and the
--- a/crates/core/src/lease/seat.rs
+++ b/crates/core/src/lease/seat.rs
@@ -114,6 +114,12 @@
         self.tenure
     }
 
+    /// Returns the life that the row named when it was last seen.
+    #[must_use]
+    pub fn holder(&self) -> Option<&name::Incarnation> {
+        self.seen.as_ref()?.row.as_ref()?.holder.as_ref()
+    }
+
     /// Returns the version of the row under which this process asks for help, if it holds it.
     #[must_use]
     pub fn held_version(&self) -> Option<u64> {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -89,7 +89,7 @@
         None => return false,
     };
     if catalog.version > present.catalog.version {
-        state.admission.configure(&catalog, told.hosts.len());
+        state.purse.configure(&catalog, state.clock.now());
         log::info!(version:% = catalog.version; "records in force");
     }
     let now = state.clock.now();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,5 @@
 //! Data path on an entry host: from a caller's request to a target's whole answer.
 
-mod admission;
 mod answer;
 mod balance;
 mod control;
@@ -13,6 +12,7 @@
 mod options;
 mod pipeline;
 mod pool;
+mod purse;
 mod quarantine;
 mod scrub;
 mod serve;
@@ -59,6 +59,7 @@
     serve::run(listener, &state, &stop).await;
     state.book.leave();
     once::end(&state, state.settings.drain.get()).await;
+    purse::leave(&state).await;
     journal::flush(&state).await;
     finished.ask();
     let _ended = tasks.await;
@@ -74,6 +75,10 @@
     let shared = sync::Arc::clone(state);
     tree.spawn("ledger copy", move || once::keep(sync::Arc::clone(&shared)));
     let shared = sync::Arc::clone(state);
+    tree.spawn("tokens", move || purse::ask(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
+    tree.spawn("slots", move || purse::claim(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
     tree.spawn("journal", move || journal::run(sync::Arc::clone(&shared)));
     let shared = sync::Arc::clone(state);
     let ready: admin::Ready = sync::Arc::new(move || shared.is_ready());
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -89,7 +89,7 @@
     if !place.route.idempotent {
         return once::receive(state, account, request).await;
     }
-    admit(state, place, account.as_ref(), &request)?;
+    admit(state, place, account.as_ref(), &request).await?;
     run(state, place, account.as_ref(), &request).await
 }
 
@@ -102,7 +102,7 @@
     mut head: hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> exchange::Result<(Option<name::Account>, catalog::Place<'a>, exchange::Request)> {
-    if !view.is_ready() {
+    if !view.is_ready() || !state.purse.is_ready(state.clock.now()) {
         return Err(exchange::Refusal::new(kind::ErrorKind::NotReady));
     }
     let place = view.catalog.route(head.method.as_str(), head.uri.path());
@@ -138,12 +138,12 @@
         .catalog
         .route(request.method.as_str(), request.target.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
-    admit(state, place, account, request)?;
+    admit(state, place, account, request).await?;
     run(state, place, account, request).await
 }
 
 /// Admits a request within its account's rate; the decision on a refusal names the account.
-fn admit(
+async fn admit(
     state: &state::State,
     place: catalog::Place<'_>,
     account: Option<&name::Account>,
@@ -152,8 +152,8 @@
     let Some(account) = account else {
         return Ok(());
     };
-    let admitted = state.admission.admit(account, state.clock.now());
-    admitted.map_err(|refusal| {
+    let admitted = state.purse.admit(account, request.deadline, &state.clock);
+    admitted.await.map_err(|refusal| {
         let mut trace = journal::Trace::new(state, place.service, Some(account), request);
         let refusal = trace.check(refusal);
         trace.finish(state, &Err(refusal.clone()));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,12 +9,12 @@
 use skylark_runtime::metrics;
 use skylark_wire::platform;
 
-use super::admission;
 use super::balance;
 use super::error;
 use super::journal;
 use super::once;
 use super::pool;
+use super::purse;
 use super::quarantine;
 use super::settings;
 use super::view;
@@ -30,8 +30,8 @@
     pub clock: clock::Clock,
     /// Sender of metrics.
     pub metrics: metrics::Metrics,
-    /// Rates of client accounts.
-    pub admission: admission::Admission,
+    /// This host's part of the budgets.
+    pub purse: purse::Purse,
     /// Idempotency keys whose home is this process.
     pub book: once::Book,
     /// Connections to the entry processes of other hosts.
@@ -62,6 +62,7 @@
     pub fn new(settings: settings::Settings) -> error::Result<Self> {
         let clock = clock::Clock::new();
         let incarnation = identity::incarnation(&settings.host)?;
+        let purse = purse::Purse::new(&incarnation, clock.now());
         Ok(Self {
             book: once::Book::new(clock.wall()),
             peers: once::Peers::default(),
@@ -70,7 +71,7 @@
             incarnation,
             clock,
             metrics: metrics::sender("skylark.entry", settings.statsd)?,
-            admission: admission::Admission::default(),
+            purse,
             balance: balance::Balance::new(&settings.zone),
             pool: pool::Pool::default(),
             journal: journal::Journal::default(),
@@ -105,7 +106,8 @@
     /// Returns whether the process takes requests.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.view().is_ready() && !self.is_leaving()
+        let is_funded = self.purse.is_ready(self.clock.now());
+        self.view().is_ready() && is_funded && !self.is_leaving()
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -8,6 +8,7 @@
 mod leases;
 mod local;
 mod options;
+mod owner;
 mod peers;
 mod settings;
 mod state;
@@ -81,6 +82,8 @@
     let shared = sync::Arc::clone(state);
     tree.spawn("leases", move || leases::run(sync::Arc::clone(&shared)));
     let shared = sync::Arc::clone(state);
+    tree.spawn("budgets", move || owner::run(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
     tree.spawn("entry", move || {
         local::run(sync::Arc::clone(&shared), local::Role::Entry)
     });
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -3,7 +3,9 @@
 use std::io;
 use std::sync;
 
+use skylark_core::budget;
 use skylark_core::unit;
+use skylark_wire::grant;
 use skylark_wire::peer;
 use skylark_wire::peer::Peer as _;
 use skylark_wire::rpc;
@@ -61,6 +63,10 @@
         }
     }
 
+    async fn lend(self, _context: context::Context, ask: budget::Ask) -> grant::Lent {
+        self.state.post.lend(&ask, &self.state)
+    }
+
     async fn bar(self, _context: context::Context, lease: String, version: u64) -> peer::Barred {
         peer::Barred {
             member: self.state.incarnation().clone(),
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -16,6 +16,7 @@
 
 use super::error;
 use super::known;
+use super::owner;
 use super::settings;
 
 /// Everything that the tasks of the control process share.
@@ -31,6 +32,8 @@
     pub platform: platform::Client,
     /// Wakes the tasks that tell the host's processes.
     pub changed: tokio::sync::watch::Sender<u64>,
+    /// What this process owns of the budgets.
+    pub post: owner::Post,
     known: sync::Mutex<known::Known>,
 }
 
@@ -66,6 +69,7 @@
             clock,
             platform: platform::Client::new(&settings.platform),
             changed: tokio::sync::watch::Sender::new(0),
+            post: owner::Post::default(),
             known: sync::Mutex::new(known),
             me,
             settings,
@@ -127,6 +131,11 @@
         self.with(|known| known.seat(lease).tenure())
     }
 
+    /// Returns the time for which this process may act under a lease that it contends for.
+    pub fn tenure_held(&self, lease: &str) -> Option<lease::Tenure> {
+        self.with(|known| Some(known.seats.get(lease)?.tenure()))
+    }
+
     /// Returns whether records are known and proved to be the newest.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- /dev/null
+++ b/crates/wire/src/grant.rs
@@ -0,0 +1,16 @@
+//! What a control process answers to an entry process that asks for tokens.
+
+use skylark_core::budget;
+use skylark_core::record;
+
+/// The answer to an ask for tokens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum Lent {
+    /// The owner's answer.
+    Answered(budget::Answer),
+    /// Another control process owns the budgets or knows who does.
+    Elsewhere(record::Address),
+    /// Nobody is known to own the budgets, or the ask was answered before.
+    Nothing,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the processes of skylarkmount say to each other and to the platform.
 
 pub mod control;
+pub mod grant;
 pub mod header;
 pub mod home;
 pub mod http;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,11 +2,13 @@
 
 use std::collections;
 
+use skylark_core::budget;
 use skylark_core::member;
 use skylark_core::name;
 use skylark_core::unit;
 
 use super::control;
+use super::grant;
 
 /// The service that a control process offers to its peers.
 #[tarpc::service]
@@ -19,6 +21,9 @@
 
     /// Stops helping the holder of a lease at a version of its row; false from the holder itself.
     async fn bar(lease: String, version: u64) -> Barred;
+
+    /// Lends an entry process tokens, or tells who may.
+    async fn lend(ask: budget::Ask) -> grant::Lent;
 }
 
 /// A question with the sign of life of the asking host.
