--- a/tests/config_keys.rs
+++ b/tests/config_keys.rs
@@ -40,7 +40,7 @@
 }
 
 fn answer(mut stream: net::TcpStream, kept: &sync::Mutex<Vec<u8>>) {
-    let mut buffer = [0; 65_536];
+    let mut buffer = vec![0; 65_536];
     while let Ok(count) = stream.read(&mut buffer) {
         if count == 0 {
             return;
@@ -175,7 +175,7 @@
 }
 
 fn assert_metrics_clean(metrics: &net::UdpSocket) {
-    let mut buffer = [0; 65_536];
+    let mut buffer = vec![0; 65_536];
     let mut total = 0;
     while let Ok(count) = metrics.recv(&mut buffer) {
         total += count;
