Bound a look-up answer to 12 hosts, of every zone

Cause: an answer named every entry host; at 790 hosts it would hold about 60 KB, and rendering grew with the square of the fleet. Change: half of an answer or more are near hosts in turn, the rest farther hosts with each availability zone once before any comes twice.

--- a/crates/lookup/src/answer.rs
+++ b/crates/lookup/src/answer.rs
@@ -13,6 +13,9 @@
 /// Time for which answers carry one time of issue, in seconds.
 const ISSUE_SECONDS: u64 = 10;
 
+/// Entry hosts that one answer names at most, so that its size does not grow with the fleet.
+pub const NAMED_HOSTS: usize = 12;
+
 /// What a caller is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -48,7 +51,7 @@
 }
 
 impl Answers {
-    /// Renders the answers of a view.
+    /// Renders the answers of a view, `issued` in seconds since the Unix epoch.
     #[must_use]
     pub fn new(catalog: &catalog::Catalog, hosts: &[control::Host], issued: u64) -> Self {
         let serving: Vec<&control::Host> = hosts
@@ -101,14 +104,40 @@
         .iter()
         .filter(|host| Some(rank(catalog, zone, host)) == best)
         .count();
+    let (near, far) = ranked.split_at(equals);
     let turn = |first: usize| {
-        let mut order = ranked.clone();
-        order[..equals].rotate_left(first);
+        let near = near.iter().cycle().skip(first).take(equals);
+        let far = spread(far, first);
+        let near_count = NAMED_HOSTS.saturating_sub(far.len()).max(NAMED_HOSTS / 2);
+        let order: Vec<&control::Host> = near
+            .take(near_count)
+            .copied()
+            .chain(far)
+            .take(NAMED_HOSTS)
+            .collect();
         render(catalog, &order, issued)
     };
     (0..equals.max(1)).map(turn).collect()
 }
 
+/// Orders farther hosts so that each availability zone comes once before any comes twice.
+fn spread<'a>(far: &[&'a control::Host], first: usize) -> Vec<&'a control::Host> {
+    let mut zones: Vec<Vec<&control::Host>> = Vec::new();
+    for host in far {
+        match zones.iter_mut().find(|zone| zone[0].zone == host.zone) {
+            Some(zone) => zone.push(host),
+            None => zones.push(vec![host]),
+        }
+    }
+    for zone in &mut zones {
+        let turn = first % zone.len();
+        zone.rotate_left(turn);
+    }
+    let longest = zones.iter().map(Vec::len).max().unwrap_or(0);
+    let rounds = (0..longest).flat_map(|round| zones.iter().filter_map(move |z| z.get(round)));
+    rounds.take(NAMED_HOSTS).copied().collect()
+}
+
 /// How far a host is from callers of a zone: 0 same zone, 1 same region, 2 elsewhere.
 fn rank(catalog: &catalog::Catalog, zone: &name::Zone, host: &control::Host) -> u8 {
     if host.zone == *zone {
--- a/crates/lookup/src/lib.rs
+++ b/crates/lookup/src/lib.rs
@@ -15,7 +15,7 @@
 use skylark_runtime::stop;
 use skylark_runtime::supervisor;
 
-pub use answer::{Answers, Entry, Reply};
+pub use answer::{Answers, Entry, NAMED_HOSTS, Reply};
 pub use error::{Error, Result};
 
 /// Runs the look-up process that the command line describes.
