--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -20,4 +20,13 @@
     /// The result cannot be written as JSON.
     #[error("the result cannot be written as JSON: {0}")]
     Json(#[from] serde_json::Error),
+    /// A record of the experiment cannot be read.
+    #[error("the experiment's record cannot be read: {0}")]
+    Record(String),
+    /// A name or a snapshot of the experiment is wrong.
+    #[error("{0}")]
+    Core(#[from] skylark_core::error::Error),
+    /// A message cannot be written in the compact form.
+    #[error("a message cannot be written: {0}")]
+    Compact(#[from] bincode::Error),
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,8 @@
 //! Experiments and benchmarks on the decisions, one module an experiment.
 
+mod blocks;
 mod budgets;
+mod capacity;
 mod decision;
 mod error;
 mod once;
@@ -16,6 +18,8 @@
 pub fn run() -> Result<()> {
     let options = options::Options::from_args()?;
     match options.experiment {
+        options::Experiment::Blocks => blocks::run(&options),
+        options::Experiment::Capacity => capacity::run(&options),
         options::Experiment::Budgets => budgets::run(&options),
         options::Experiment::Decision => decision::run(&options),
         options::Experiment::Once => once::run(&options),
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,13 +3,17 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "budgets, decision, once";
+pub const NAMES: &str = "blocks, budgets, capacity, decision, once";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experiment {
+    /// Table of blocks of clients.
+    Blocks,
     /// Ways of keeping one budget over all entry hosts.
     Budgets,
+    /// Slopes for the page on capacity.
+    Capacity,
     /// Cost of reading the route of a request.
     Decision,
     /// Cost of the ledger of idempotency keys.
@@ -43,7 +47,9 @@
             optional --seed seed: u64
         };
         let experiment = match flags.name.as_str() {
+            "blocks" => Experiment::Blocks,
             "budgets" => Experiment::Budgets,
+            "capacity" => Experiment::Capacity,
             "decision" => Experiment::Decision,
             "once" => Experiment::Once,
             _ => return Err(error::Error::Unknown(flags.name)),
