Read the copy of a silent home's ledger before the deadline

Cause: a resend waited its whole deadline for a frozen home and had no time left to read the copied answer. In the last eighth of the time it now reads the copy while it goes on waiting.

--- a/crates/entry/src/once/receive.rs
+++ b/crates/entry/src/once/receive.rs
@@ -15,6 +15,9 @@
 use crate::exchange;
 use crate::state;
 
+/// Part of the time left in which the copy of a silent home's ledger is read meanwhile.
+const RECALL_SHARE: u32 = 8;
+
 /// Runs a non-idempotent request at most once under its idempotency key.
 ///
 /// # Errors
@@ -82,12 +85,21 @@
 ) -> exchange::Result<exchange::Answer> {
     let now = state.clock.now();
     let call = message::call(request, key, account.as_ref(), now);
-    let reach = match peers::pass(state, holder, call, request.left(now)).await {
+    let left = request.left(now);
+    let print = message::print(account.as_ref(), request);
+    let early = async {
+        tokio::time::sleep(left.saturating_sub(left / RECALL_SHARE)).await;
+        recall::recall(state, holder, key, print, left / RECALL_SHARE).await
+    };
+    let passed = tokio::select! {
+        passed = peers::pass(state, holder, call, left) => passed,
+        Some(begin) = early => return message::outcome(&begin),
+    };
+    let reach = match passed {
         peers::Passed::Told(reply) => return message::result(&reply),
         peers::Passed::No => once::Reach::Held,
         peers::Passed::Lost => once::Reach::Passed,
     };
-    let print = message::print(account.as_ref(), request);
     let left = request.left(state.clock.now());
     if let Some(begin) = recall::recall(state, holder, key, print, left).await {
         return message::outcome(&begin);
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -257,3 +257,18 @@
     let crashes = crashes(&fleet).await;
     assert!((1..=2).contains(&crashes), "{crashes}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_home_s_copied_answer_comes_from_another_host() {
+    let fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    let key = key(&fleet, 0, "order-1").await;
+    let first = fleet.order(&fleet.hosts[0], &key, 1).await;
+    let first = first.expect("an answer");
+    tokio::time::sleep(COPY_TIME).await;
+    signal("-STOP", &fleet.hosts[0].entry);
+    let again = fleet.order(&fleet.hosts[1], &key, 2).await;
+    signal("-CONT", &fleet.hosts[0].entry);
+    let again = again.expect("an answer");
+    assert_eq!((again.status, &again.body), (200, &first.body));
+    assert_eq!(fleet.starts(&key).await, 1);
+}
