Bound the memory of copies, and tell what the ledger keeps

Outcomes that wait for the object store are bounded by bytes too (64 MiB), and the cache of other ledgers' copies to 8 of at most 4 MiB each; it could hold 32 copies of any size. Gauges once.keys, once.waiting and once.lost.

--- a/crates/core/src/once/entry.rs
+++ b/crates/core/src/once/entry.rs
@@ -30,6 +30,15 @@
 }
 
 impl Entry {
+    /// Returns the memory that the entry's answer takes, in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        match &self.fate {
+            Fate::Answered(answer) => answer.size(),
+            Fate::Refused(_) | Fate::Lost => 0,
+        }
+    }
+
     /// Returns what the entry tells a resend with a fingerprint.
     #[must_use]
     pub fn tell(&self, print: super::Print) -> super::Begin {
--- a/crates/entry/src/once/book.rs
+++ b/crates/entry/src/once/book.rs
@@ -12,6 +12,9 @@
 /// Most entries that wait to be copied to the object store.
 const PENDING: usize = 20_000;
 
+/// Most bytes of answers that wait to be copied.
+const PENDING_BYTES: usize = 64 << 20;
+
 /// Most entries that are copied at a time.
 const BATCH: usize = 2_000;
 
@@ -27,6 +30,7 @@
     ledger: once::Ledger,
     running: collections::HashMap<once::Id, watch::Sender<()>>,
     pending: collections::BTreeMap<u64, Pending>,
+    bytes: usize,
     copied: u64,
 }
 
@@ -49,6 +53,7 @@
                 ledger,
                 running: collections::HashMap::new(),
                 pending: collections::BTreeMap::new(),
+                bytes: 0,
                 copied: 0,
             }),
             lost: atomic::AtomicU64::new(0),
@@ -83,6 +88,7 @@
         if let Some(entry) = entry {
             let number = inner.copied;
             inner.copied += 1;
+            inner.bytes += entry.size();
             inner.pending.insert(number, Pending { generation, entry });
         }
         self.bound(&mut inner);
@@ -107,10 +113,24 @@
     pub fn copied(&self, numbers: &[u64]) {
         let mut inner = self.lock();
         for number in numbers {
-            inner.pending.remove(number);
+            if let Some(pending) = inner.pending.remove(number) {
+                inner.bytes -= pending.entry.size();
+            }
         }
     }
 
+    /// Returns how many keys the ledger remembers.
+    #[must_use]
+    pub fn keys(&self) -> u64 {
+        u64::try_from(self.lock().ledger.len()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns how many outcomes wait to be copied.
+    #[must_use]
+    pub fn waiting(&self) -> u64 {
+        u64::try_from(self.lock().pending.len()).unwrap_or(u64::MAX)
+    }
+
     /// Returns how many outcomes were dropped before they were copied.
     #[must_use]
     pub fn lost(&self) -> u64 {
@@ -137,8 +157,11 @@
     }
 
     fn bound(&self, inner: &mut Inner) {
-        while inner.pending.len() > PENDING {
-            inner.pending.pop_first();
+        while inner.pending.len() > PENDING || inner.bytes > PENDING_BYTES {
+            let Some((_number, pending)) = inner.pending.pop_first() else {
+                break;
+            };
+            inner.bytes -= pending.entry.size();
             self.lost.fetch_add(1, atomic::Ordering::Relaxed);
         }
     }
--- a/crates/entry/src/once/copy.rs
+++ b/crates/entry/src/once/copy.rs
@@ -5,6 +5,7 @@
 use std::sync;
 use std::time;
 
+use cadence::Gauged as _;
 use skylark_core::name;
 use skylark_core::once;
 use skylark_wire::platform::Platform as _;
@@ -29,6 +30,20 @@
         let period = HOST_PERIOD.saturating_mul(hosts).max(FLUSH_PERIOD);
         tokio::time::sleep(period).await;
         flush(&state).await;
+        measure(&state);
+    }
+}
+
+fn measure(state: &state::State) {
+    let gauges = [
+        ("once.keys", state.book.keys()),
+        ("once.waiting", state.book.waiting()),
+        ("once.lost", state.book.lost()),
+    ];
+    for (name, value) in gauges {
+        if let Err(error) = state.metrics.gauge(name, value) {
+            log::debug!(error:% = error; "metric not sent");
+        }
     }
 }
 
--- a/crates/entry/src/once/recall.rs
+++ b/crates/entry/src/once/recall.rs
@@ -16,7 +16,8 @@
 
 const LIMIT: time::Duration = time::Duration::from_secs(1);
 const FRESH: time::Duration = time::Duration::from_secs(2);
-const CACHED: usize = 32;
+const CACHED: usize = 8;
+const CACHED_BYTES: usize = 4 << 20;
 const READS_AT_ONCE: usize = 32;
 
 /// Copies that were read lately, so that many resends cost one reading.
@@ -40,6 +41,15 @@
     at: instant::Instant,
 }
 
+impl Copy {
+    fn size(&self) -> usize {
+        let entries = self.pages.iter().flat_map(|page| &page.entries);
+        entries
+            .map(|entry| size_of::<once::Entry>() + entry.size())
+            .sum()
+    }
+}
+
 /// Tells what became of a key from the copy of its home's ledger, if that can be read in time.
 pub async fn recall(
     state: &state::State,
@@ -68,7 +78,7 @@
         return Some(copy.clone());
     }
     let copy = read_now(state, &place, now).await?;
-    if read.len() < CACHED {
+    if read.len() < CACHED && copy.size() < CACHED_BYTES {
         read.insert(place, copy.clone());
     }
     Some(copy)
