--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -11,7 +11,6 @@
 use skylark_core::kind;
 use skylark_core::name;
 use skylark_core::once as rules;
-use skylark_core::quarantine as wards;
 use skylark_core::record;
 use skylark_core::steer;
 use skylark_wire::header;
@@ -24,13 +23,12 @@
 use super::journal;
 use super::once;
 use super::quarantine;
+use super::recheck;
 use super::scrub;
 use super::state;
 use super::view;
 
 const BODY_LIMIT_BYTES: usize = 1024 * 1024;
-/// Pause between two checks of a key while the records may be out of date.
-const NEWS_PAUSE: time::Duration = time::Duration::from_millis(10);
 /// Time after which batch work without a deadline is given up.
 const BATCH_LIMIT: time::Duration = time::Duration::from_mins(5);
 
@@ -206,19 +204,15 @@
         let stay = quarantine::enter(state, print, request.deadline).await;
         let stay = stay.map_err(|refusal| trace.check(refusal))?;
         let seat = take(state, service, account, request, &tried, trace).await?;
-        let checked = confirm(state, request).await;
+        let checked = recheck::confirm(state, request).await;
         checked.map_err(|refusal| trace.check(refusal))?;
         let begun = state.clock.now();
         let target = seat.target.clone();
-        let is_allowed = || recheck(state, request).is_ok();
-        let pool = &state.pool;
-        let exchange = forward::send(pool, &target, request, account, &state.clock, is_allowed);
-        let result = exchange.await;
+        let result = forward::send(state, stay, &target, request, account).await;
         let spent = state.clock.now().since(begun);
         trace.sent(&target.name, &result, spent);
         let (end, word) = seen(&result, spent);
         seat.end(end, word);
-        stay.end(ending(&result, &target.name));
         match result {
             Ok(answer) => {
                 state.balance.succeed();
@@ -226,7 +220,7 @@
             }
             Err(forward::Failure::Withheld) => {
                 let unsure = exchange::Refusal::new(kind::ErrorKind::StaleKeys);
-                let refusal = recheck(state, request).err().unwrap_or(unsure);
+                let refusal = recheck::check(state, request).err().unwrap_or(unsure);
                 return Err(trace.check(refusal));
             }
             Err(forward::Failure::NotStarted | forward::Failure::Shed(_)) => {
@@ -294,33 +288,3 @@
         Err(_failure) => (steer::End::Failed, silent),
     }
 }
-
-/// Checks the request's key again, and waits for news while the records may be out of date.
-///
-/// A process that was frozen hears the newest records within moments.
-async fn confirm(state: &state::State, request: &exchange::Request) -> exchange::Result<()> {
-    loop {
-        match recheck(state, request) {
-            Err(refusal)
-                if refusal.kind == kind::ErrorKind::StaleKeys
-                    && !request.left(state.clock.now()).is_zero() =>
-            {
-                tokio::time::sleep(NEWS_PAUSE).await;
-            }
-            checked => return checked,
-        }
-    }
-}
-
-fn recheck(state: &state::State, request: &exchange::Request) -> exchange::Result<()> {
-    identity::recheck(&state.view(), request.credential, state.clock.now())
-}
-
-/// Returns what an exchange tells of its request's fingerprint.
-fn ending(result: &forward::Result<exchange::Answer>, target: &name::Target) -> wards::Ending {
-    match result {
-        Ok(_answer) => wards::Ending::Answered,
-        Err(forward::Failure::Broken) => wards::Ending::Died(target.clone()),
-        Err(_other) => wards::Ending::Neither,
-    }
-}
