Settle rosters by the operator's word that a host has ended

Cause: when so many members vanish for good that no f + 1 of them can leave an earlier roster, and they come back under other names, it could never be sealed: no change would count as accepted and no lease change hands. Dead hosts look like a zone that is cut off with them, so nothing automatic is sound; the platform's list may drop hosts that are only cut off.

Change: a drain record with the subject 'ended' is the operator's word. Such a host seals earlier rosters, is not named and does not join.

--- a/crates/cli/src/command/drain.rs
+++ b/crates/cli/src/command/drain.rs
@@ -56,8 +56,9 @@
         "target" => Ok(record::Subject::Target(name::Target::new(name)?)),
         "zone" => Ok(record::Subject::Zone(name::Zone::new(name)?)),
         "host" => Ok(record::Subject::Host(name::Host::new(name)?)),
+        "ended" => Ok(record::Subject::Ended(name::Host::new(name)?)),
         other => {
-            let hint = suggest::hint(other, ["target", "zone", "host"]);
+            let hint = suggest::hint(other, ["target", "zone", "host", "ended"]);
             let text = format!("'{other}' cannot be drained: {hint}");
             Err(error::Error::Usage(text))
         }
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -64,6 +64,7 @@
             record::Subject::Target(name) => ("target", name.as_str()),
             record::Subject::Zone(name) => ("zone", name.as_str()),
             record::Subject::Host(name) => ("host", name.as_str()),
+            record::Subject::Ended(name) => ("ended", name.as_str()),
         };
         session.say(&(), &format!("drained: {kind} {name}"))?;
     }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -86,7 +86,7 @@
         }
         /// Give a target, availability zone or entry host no new work
         cmd drain {
-            /// One of target, zone and host
+            /// One of target, zone and host, or ended for a host that is off for good
             required kind: String
             /// Name of what is drained
             required name: String
--- a/crates/core/src/catalog/check.rs
+++ b/crates/core/src/catalog/check.rs
@@ -126,7 +126,7 @@
             Some(record::Subject::Zone(name)) => {
                 self.known(document, "drain.subject.zone", Kind::Zone, name);
             }
-            Some(record::Subject::Host(_)) | None => {}
+            Some(record::Subject::Host(_) | record::Subject::Ended(_)) | None => {}
         }
     }
 
--- a/crates/core/src/catalog/view.rs
+++ b/crates/core/src/catalog/view.rs
@@ -73,7 +73,7 @@
         self.drains.iter().any(|drain| match &drain.subject {
             record::Subject::Target(name) => *name == target.name,
             record::Subject::Zone(zone) => *zone == target.zone,
-            record::Subject::Host(_) => false,
+            record::Subject::Host(_) | record::Subject::Ended(_) => false,
         })
     }
 }
--- a/crates/core/src/member/keep.rs
+++ b/crates/core/src/member/keep.rs
@@ -1,5 +1,6 @@
 //! When a host changes the roster.
 
+use crate::name;
 use crate::unit;
 
 use super::Member;
@@ -15,7 +16,9 @@
 /// silent member, and seals earlier rosters by what it knows itself to have
 /// left. `known` is the generation that the host itself goes by, and
 /// `is_silent` tells whether a member was silent for a multiple of the usual
-/// patience. The write must be conditional on the rows of roster and head.
+/// patience. `ended` are hosts that are off for good, by the operator's word: they
+/// seal earlier rosters and never join. The write must be conditional on the rows
+/// of roster and head.
 #[must_use]
 pub fn keep(
     roster: &Roster,
@@ -23,7 +26,11 @@
     known: u64,
     head: unit::Version,
     is_silent: impl Fn(&Member, u32) -> bool,
+    ended: &[name::Host],
 ) -> Option<Roster> {
+    if ended.contains(&me.host) {
+        return None;
+    }
     if roster.member(&me.incarnation).is_none() {
         let seated = roster.of_zone(&me.zone);
         let may_join = seated.is_none_or(|m| m.host == me.host || is_silent(m, 1));
@@ -35,6 +42,6 @@
     if let Some(silent) = silent {
         return Some(roster.without_member(&silent.incarnation, head));
     }
-    let sealed = roster.with_closed(&me.incarnation, known);
+    let sealed = roster.with_closed(&me.incarnation, known).with_ended(ended);
     (sealed != *roster).then_some(sealed)
 }
--- a/crates/core/src/member/roster.rs
+++ b/crates/core/src/member/roster.rs
@@ -120,6 +120,14 @@
         next
     }
 
+    /// Strikes hosts that are off for good out of earlier rosters.
+    #[must_use]
+    pub fn with_ended(&self, ended: &[name::Host]) -> Self {
+        let mut next = self.clone();
+        next.close_where(|open| ended.contains(&open.host));
+        next
+    }
+
     /// Returns whether a version is accepted, given what members are known to have in force.
     ///
     /// This roster must have been read after the reports.
--- a/crates/core/src/record/drain.rs
+++ b/crates/core/src/record/drain.rs
@@ -24,6 +24,8 @@
     Zone(name::Zone),
     /// One entry host.
     Host(name::Host),
+    /// An entry host that is off for good, by the operator's word; its name is not used again.
+    Ended(name::Host),
 }
 
 /// The subject as it is written: one field, named after what is drained.
@@ -37,17 +39,20 @@
     zone: Option<name::Zone>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     host: Option<name::Host>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ended: Option<name::Host>,
 }
 
 impl TryFrom<Fields> for Subject {
     type Error = &'static str;
 
     fn try_from(fields: Fields) -> Result<Self, Self::Error> {
-        match (fields.target, fields.zone, fields.host) {
-            (Some(target), None, None) => Ok(Self::Target(target)),
-            (None, Some(zone), None) => Ok(Self::Zone(zone)),
-            (None, None, Some(host)) => Ok(Self::Host(host)),
-            _ => Err("names exactly one of target, zone and host"),
+        match (fields.target, fields.zone, fields.host, fields.ended) {
+            (Some(target), None, None, None) => Ok(Self::Target(target)),
+            (None, Some(zone), None, None) => Ok(Self::Zone(zone)),
+            (None, None, Some(host), None) => Ok(Self::Host(host)),
+            (None, None, None, Some(host)) => Ok(Self::Ended(host)),
+            _ => Err("names exactly one of target, zone, host and ended"),
         }
     }
 }
@@ -68,6 +73,10 @@
                 host: Some(host),
                 ..empty
             },
+            Subject::Ended(host) => Self {
+                ended: Some(host),
+                ..empty
+            },
         }
     }
 }
--- a/crates/core/tests/member_model.rs
+++ b/crates/core/tests/member_model.rs
@@ -376,7 +376,7 @@
         };
         let generation = host.node.roster().generation;
         let newest = unit::Version::new(head);
-        let next = member::keep(&roster, &host.member(), generation, newest, is_silent);
+        let next = member::keep(&roster, &host.member(), generation, newest, is_silent, &[]);
         let Some(mut next) = next else {
             return;
         };
--- a/crates/core/tests/member_roster.rs
+++ b/crates/core/tests/member_roster.rs
@@ -137,3 +137,33 @@
     watch.hear(at(1_100));
     assert!(!watch.is_silent(span, at(1_699)));
 }
+
+#[test]
+fn hosts_that_ended_for_good_seal_the_rosters_that_nobody_else_can() {
+    let me = seat(9, 9);
+    let ended = [seat(0, 0).host];
+    let dead = roster(1).with_member(me.clone(), unit::Version::NONE);
+    let known = dead.generation;
+    let keep = |me: &member::Member, ended: &[name::Host]| {
+        member::keep(
+            &dead,
+            me,
+            known,
+            unit::Version::NONE,
+            |_m, _times| false,
+            ended,
+        )
+    };
+    assert!(!dead.is_settled());
+    assert_eq!(
+        keep(&me, &[]),
+        None,
+        "the one member of before may still vouch for itself"
+    );
+    assert!(keep(&me, &ended).expect("a write").is_settled());
+    let back = member::Member {
+        incarnation: life(10),
+        ..seat(0, 0)
+    };
+    assert_eq!(keep(&back, &ended), None, "a host that ended does not join");
+}
--- a/crates/lookup/src/answer.rs
+++ b/crates/lookup/src/answer.rs
@@ -80,7 +80,7 @@
 /// Returns whether look-up answers name a host: it serves and no record drains it.
 fn is_named(catalog: &catalog::Catalog, host: &control::Host) -> bool {
     let is_drained = catalog.drains.iter().any(|drain| match &drain.subject {
-        record::Subject::Host(name) => *name == host.host,
+        record::Subject::Host(name) | record::Subject::Ended(name) => *name == host.host,
         record::Subject::Zone(zone) => *zone == host.zone,
         record::Subject::Target(_) => false,
     });
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -5,6 +5,7 @@
 
 use skylark_core::instant;
 use skylark_core::member;
+use skylark_core::name;
 use skylark_core::record;
 use skylark_core::unit;
 use skylark_wire::platform;
@@ -68,7 +69,8 @@
         let generation = known.node.roster().generation;
         let is_silent =
             |m: &member::Member, times: u32| known.is_silent(&m.incarnation, patience * times, now);
-        member::keep(&roster, &state.me, generation, head, is_silent)
+        let ended = ended(&known.records);
+        member::keep(&roster, &state.me, generation, head, is_silent, &ended)
     });
     if let Some(next) = next {
         let conditions = vec![
@@ -80,6 +82,18 @@
     Ok(())
 }
 
+/// Returns the hosts that are off for good, by the operator's word.
+fn ended(records: &[record::Document]) -> Vec<name::Host> {
+    let drains = records
+        .iter()
+        .filter_map(|document| document.drain.as_ref());
+    let ended = drains.filter_map(|drain| match &drain.subject {
+        record::Subject::Ended(host) => Some(host.clone()),
+        _other => None,
+    });
+    ended.collect()
+}
+
 /// Reads the newest version, puts it in force, and keeps the evidence.
 async fn read_head(state: &state::State) -> platform::Result<(u64, unit::Version)> {
     let asked = state.clock.now();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -183,6 +183,14 @@
         fleet
     }
 
+    /// Adds an entry host that was not there before.
+    pub fn add_host(&mut self, index: u8, zone: &str) {
+        let links = Links::start(&self.network, index);
+        self.links.insert(index, links);
+        let host = self.start_host(index, zone);
+        self.hosts.push(host);
+    }
+
     /// Starts the daemons of one entry host.
     pub fn start_host(&self, index: u8, zone: &str) -> Host {
         let name = format!("host-{index}");
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -426,3 +426,46 @@
     let said = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(said.contains("8003"), "{said}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_replaced_under_new_names_settles_by_the_operator_s_word() {
+    let mut fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    settle(&fleet).await;
+    for host in &mut fleet.hosts {
+        host.kill();
+    }
+    fleet.hosts.clear();
+    for (index, zone) in [(2, common::ZONES[0]), (3, common::ZONES[1])] {
+        fleet.add_host(index, zone);
+    }
+    let members = async |fleet: &common::Fleet| {
+        let roster = row(fleet, "roster").await["value"].clone();
+        let hosts = roster["members"].as_array().cloned().unwrap_or_default();
+        let mut hosts: Vec<String> = hosts.iter().map(|m| m["host"].to_string()).collect();
+        hosts.sort();
+        (hosts, roster["past"] == serde_json::json!([]))
+    };
+    let new = vec!["\"host-2\"".to_owned(), "\"host-3\"".to_owned()];
+    fleet
+        .wait(
+            "the new hosts in the roster",
+            async |fleet: &common::Fleet| members(fleet).await.0 == new,
+        )
+        .await;
+    tokio::time::sleep(BOUND).await;
+    assert!(
+        !members(&fleet).await.1,
+        "the old hosts may be cut off and honour keys"
+    );
+    let output = fleet.skylark(&["drain", "ended", "host-0"]);
+    assert!(
+        output.status.code() == Some(0) || output.status.code() == Some(8),
+        "{output:?}"
+    );
+    fleet
+        .wait("a settled roster", async |fleet: &common::Fleet| {
+            members(fleet).await.1
+        })
+        .await;
+    expect_soon(&fleet, 200).await;
+}
