--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -14,9 +14,9 @@
 
 use super::answer;
 use super::exchange;
+use super::identity;
 use super::pool;
 use super::quarantine;
-use super::recheck;
 use super::state;
 
 /// Why an exchange gave no whole answer.
@@ -43,7 +43,8 @@
 ///
 /// An exchange that is late, or whose caller went away, is watched a little longer where
 /// no target has answered its fingerprint yet: a crash that it causes is to be seen.
-/// The caller's key is checked once more when the connection stands, before the first byte.
+///
+/// The request's key is checked again after the connection stands, before the first byte.
 ///
 /// # Errors
 ///
@@ -84,8 +85,11 @@
         let pool = &self.state.pool;
         let account = self.account.as_ref();
         let clock = &self.state.clock;
-        let is_allowed = || recheck::check(&self.state, &self.request).is_ok();
-        let attempt = attempt(
+        let is_allowed = || {
+            let credential = self.request.credential;
+            identity::recheck(&self.state.view(), credential, clock.now()).is_ok()
+        };
+        let exchange = attempt(
             pool,
             &self.target,
             &self.request,
@@ -93,7 +97,7 @@
             clock,
             is_allowed,
         );
-        let mut exchange = Box::pin(attempt);
+        let mut exchange = Box::pin(exchange);
         let result = tokio::select! {
             result = &mut exchange => result,
             () = sender.closed() => {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,7 +14,6 @@
 mod pipeline;
 mod pool;
 mod quarantine;
-mod recheck;
 mod scrub;
 mod serve;
 mod settings;
