--- a/crates/core/tests/member_model.rs
+++ b/crates/core/tests/member_model.rs
@@ -187,7 +187,7 @@
 impl World {
     fn new(seed: u64, without: Without) -> Self {
         let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
-        let zones = rng.random_range(1..=5);
+        let zones = rng.random_range(1..=7);
         let count = zones + rng.random_range(0..=3);
         let mut world = Self {
             rng,
@@ -376,7 +376,7 @@
         };
         let generation = host.node.roster().generation;
         let newest = unit::Version::new(head);
-        let next = member::keep(&roster, &host.member(), generation, newest, is_silent);
+        let next = member::keep(&roster, &host.member(), generation, newest, is_silent, &[]);
         let Some(mut next) = next else {
             return;
         };
