--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -89,7 +89,14 @@
             let credential = self.request.credential;
             identity::recheck(&self.state.view(), credential, clock.now()).is_ok()
         };
-        let exchange = attempt(pool, &self.target, &self.request, account, clock, is_allowed);
+        let exchange = attempt(
+            pool,
+            &self.target,
+            &self.request,
+            account,
+            clock,
+            is_allowed,
+        );
         let mut exchange = Box::pin(exchange);
         let result = tokio::select! {
             result = &mut exchange => result,
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -109,7 +109,9 @@
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
     let caller = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
     scrub::scrub(&mut head, &view.catalog)?;
-    let limit = timeout(&head.headers, place)?;
+    let account = caller.as_ref().map(|caller| &caller.account);
+    let is_batch = place.is_batch(account.and_then(|name| view.catalog.accounts.get(name)));
+    let limit = timeout(&head.headers, place.service, is_batch)?;
     let body = read(body).await?;
     let request = exchange::Request {
         id: id.to_owned(),
@@ -163,15 +165,12 @@
 
 fn timeout(
     headers: &hyper::HeaderMap,
-    place: catalog::Place<'_>,
+    service: &record::Service,
+    is_batch: bool,
 ) -> exchange::Result<time::Duration> {
     let Some(value) = headers.get(header::TIMEOUT) else {
-        let limit = place.service.deadline.get();
-        return Ok(if place.route.batch {
-            BATCH_LIMIT
-        } else {
-            limit
-        });
+        let limit = service.deadline.get();
+        return Ok(if is_batch { BATCH_LIMIT } else { limit });
     };
     let millis = value
         .to_str()
@@ -196,7 +195,9 @@
     request: &exchange::Request,
 ) -> exchange::Result<exchange::Answer> {
     let mut trace = journal::Trace::new(state, place.service, account, request);
-    let is_batch = place.route.batch && !request.headers.contains_key(header::TIMEOUT);
+    let view = state.view();
+    let is_batch = place.is_batch(account.and_then(|name| view.catalog.accounts.get(name)))
+        && !request.headers.contains_key(header::TIMEOUT);
     trace.deadline = (!is_batch).then(|| request.left(state.clock.now()));
     let result = attempts(state, place.service, account, request, &mut trace).await;
     trace.finish(state, &result);
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -49,3 +49,53 @@
     let replayed = replay["replayed"].as_u64().expect("a count");
     assert!(replayed >= u64::from(CALLS), "{replay}");
 }
+
+const BATCH_ACCOUNT: &str = "schema: 2
+account: {name: small, rate: 10/s, burst: 20, class: batch}
+";
+
+/// Reads a list of the platform.
+async fn read(fleet: &common::Fleet, path: &str) -> Vec<serde_json::Value> {
+    let url = format!("{}/{path}", fleet.platform);
+    let reply = fleet.http.send("GET", &url, Vec::new()).await;
+    serde_json::from_slice(&reply.expect("an answer").body).expect("JSON")
+}
+
+/// Returns the deadline of each stored decision on the account's requests.
+async fn deadlines(fleet: &common::Fleet, account: &str) -> Vec<serde_json::Value> {
+    let mut found = Vec::new();
+    let keys = read(fleet, "list/decisions/").await;
+    for key in keys.iter().filter_map(serde_json::Value::as_str) {
+        let decisions = read(fleet, &format!("objects/{key}")).await;
+        let mine = decisions.into_iter().filter(|d| d["account"] == account);
+        found.extend(mine.map(|decision| decision["deadline_us"].clone()));
+    }
+    found
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_requests_of_a_batch_account_that_state_no_deadline_wait_for_room() {
+    let fleet = common::Fleet::start(&common::ZONES[..1]).await;
+    fleet.apply(BATCH_ACCOUNT);
+    let bearer = format!("Bearer {}", issue(&fleet));
+    let plain = ("authorization", bearer.as_str());
+    let hurried = (skylark_wire::header::TIMEOUT, "900");
+    for headers in [&[plain][..], &[plain, hurried]] {
+        let reply = fleet
+            .call(&fleet.hosts[0], "GET", "/stock/oars", headers)
+            .await;
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    fleet
+        .wait("both decisions to be stored", async |fleet| {
+            deadlines(fleet, "small").await.len() == 2
+        })
+        .await;
+    let found = deadlines(&fleet, "small").await;
+    assert_eq!(found.iter().filter(|d| d.is_null()).count(), 1, "{found:?}");
+    let shop = deadlines(&fleet, "shop").await;
+    assert!(
+        !shop.is_empty() && shop.iter().all(|d| !d.is_null()),
+        "{shop:?}"
+    );
+}
