Let only what a host saw close a target, and measure steering against a naive version

Reports now only order the targets; room follows from the host's own requests and the refusals it met.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,8 @@
 mod decision;
 mod error;
 pub mod options;
+mod steering;
+mod steering_cost;
 
 pub use error::{Error, Result};
 
@@ -15,5 +17,7 @@
     let options = options::Options::from_args()?;
     match options.experiment {
         options::Experiment::Decision => decision::run(&options),
+        options::Experiment::Steering => steering::run(&options),
+        options::Experiment::SteeringCost => steering_cost::run(&options),
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,13 +3,17 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "decision";
+pub const NAMES: &str = "decision, steering or steering-cost";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experiment {
     /// Cost of reading the route of a request.
     Decision,
+    /// Steering against a naive version.
+    Steering,
+    /// Cost of admission and target choice.
+    SteeringCost,
 }
 
 /// What to run and how to print it.
@@ -40,6 +44,8 @@
         };
         let experiment = match flags.name.as_str() {
             "decision" => Experiment::Decision,
+            "steering" => Experiment::Steering,
+            "steering-cost" => Experiment::SteeringCost,
             _ => return Err(error::Error::Unknown(flags.name)),
         };
         Ok(Self {
--- /dev/null
+++ b/crates/bench/src/steering/deployment.rs
@@ -0,0 +1,127 @@
+//! The two deployments, by their sizes and delays.
+
+use skylark_core::catalog;
+use skylark_core::record;
+use skylark_core::unit;
+
+/// Regions of a deployment.
+pub const REGIONS: usize = 3;
+const ZONES: usize = 6;
+
+/// A deployment with one service under load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Deployment {
+    /// 12 targets of 5 slots, 3 ms between zones, 35 ms between regions.
+    Board,
+    /// 14 targets of 8 slots, 5 ms between zones, 20 ms between regions.
+    Mwakyusa,
+}
+
+impl Deployment {
+    /// Both deployments.
+    pub const ALL: [Self; 2] = [Self::Board, Self::Mwakyusa];
+
+    /// Returns the deployment's name.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Board => "board",
+            Self::Mwakyusa => "mwakyusa",
+        }
+    }
+
+    /// Returns the number of targets.
+    pub const fn targets(self) -> usize {
+        match self {
+            Self::Board => 12,
+            Self::Mwakyusa => 14,
+        }
+    }
+
+    /// Returns the slots of a target.
+    pub const fn slots(self) -> u32 {
+        match self {
+            Self::Board => 5,
+            Self::Mwakyusa => 8,
+        }
+    }
+
+    /// Returns the number of entry hosts.
+    pub const fn hosts(self) -> usize {
+        match self {
+            Self::Board => 9,
+            Self::Mwakyusa => 10,
+        }
+    }
+
+    /// Returns the one-way delay between two zones, in microseconds.
+    pub const fn delay(self, from: usize, to: usize) -> u64 {
+        let (near, far) = match self {
+            Self::Board => (3_000, 35_000),
+            Self::Mwakyusa => (5_000, 20_000),
+        };
+        if from == to {
+            0
+        } else if from / 2 == to / 2 {
+            near
+        } else {
+            far
+        }
+    }
+
+    /// Returns the zone of a target or entry host by its number.
+    pub const fn zone(number: usize) -> usize {
+        number % ZONES
+    }
+
+    /// Returns the name of a zone.
+    pub fn zone_name(zone: usize) -> String {
+        format!("r{}-{}", zone / 2, zone % 2)
+    }
+
+    /// Builds the records.
+    pub fn catalog(self) -> catalog::Catalog {
+        let documents = record::parse(&self.records()).unwrap_or_default();
+        catalog::Catalog::new(unit::Version::new(1), &documents).unwrap_or_default()
+    }
+
+    fn records(self) -> String {
+        let near = self.delay(0, 1);
+        let far = self.delay(0, 2);
+        let region = |region: usize| {
+            let zones = [Self::zone_name(region * 2), Self::zone_name(region * 2 + 1)].join(", ");
+            format!("schema: 1\nregion: {{name: r{region}, zones: [{zones}], delay: {near}us}}\n")
+        };
+        let link = |(from, to): (usize, usize)| {
+            format!(
+                "schema: 1\nlink: {{name: l{from}{to}, between: [r{from}, r{to}], \
+                 bandwidth: 1000Mbit/s, delay: {far}us}}\n"
+            )
+        };
+        let target = |number: usize| {
+            let zone = Self::zone_name(Self::zone(number));
+            let port = 9_000 + number;
+            let slots = self.slots();
+            format!(
+                "schema: 1\ntarget: {{name: t-{number:02}, service: stock, zone: {zone}, \
+                 address: '127.0.0.1:{port}', slots: {slots}, connections: 390}}\n"
+            )
+        };
+        let mut parts = vec![SERVICE.to_owned()];
+        parts.extend((0..REGIONS).map(region));
+        parts.extend([(0, 1), (0, 2), (1, 2)].map(link));
+        parts.extend((0..self.targets()).map(target));
+        parts.join("---\n")
+    }
+}
+
+const SERVICE: &str = "schema: 1
+service:
+  name: stock
+  routes:
+    - {methods: [GET], path: /stock, access: open, idempotent: true}
+  deadline: 2s
+  queue: 64
+  objective: {good: 99.9%, within: 250ms}
+";
--- a/crates/core/src/steer/candidate.rs
+++ b/crates/core/src/steer/candidate.rs
@@ -5,9 +5,6 @@
 
 const FAULT_WEIGHT: u64 = 8;
 
-/// Refusals for want of room below which a report of a full target is doubted, in basis points.
-const QUIET_SHEDS: u32 = 100;
-
 /// One drawn target, with what the host knew of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -61,15 +58,20 @@
         u32::try_from(part).unwrap_or(u32::MAX).max(1)
     }
 
-    /// Returns the slots that are believed to be free.
+    /// Returns how many more requests this host may have on the target.
     ///
-    /// One request is always tried where the host has none and met no refusal
-    /// lately, so that targets which wrongly report to be full stay in use.
+    /// Only what the host saw itself closes a target: its own requests, and
+    /// refusals for want of room. A report lags by more than a request lasts,
+    /// so that a target held to be full by its report alone would stand idle.
     #[must_use]
     pub fn room(&self) -> u32 {
-        let is_doubted = self.own == 0 && self.sheds < QUIET_SHEDS;
-        let room = self.width().saturating_sub(self.load());
-        room.max(u32::from(is_doubted))
+        if self.sheds >= super::WHOLE {
+            return 0;
+        }
+        let open = u64::from(super::WHOLE - self.sheds);
+        let window = u64::from(self.width()) * open / u64::from(super::WHOLE);
+        let window = u32::try_from(window).unwrap_or(u32::MAX).max(1);
+        window.saturating_sub(self.own)
     }
 
     /// Returns what one more request costs here; only comparison has a meaning.
--- a/crates/core/src/steer/queue.rs
+++ b/crates/core/src/steer/queue.rs
@@ -1,6 +1,9 @@
 //! Bounded queue of requests that wait for a slot.
 
 use std::collections;
+use std::hash;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
 use std::mem;
 
 use crate::instant;
@@ -13,10 +16,13 @@
 /// Requests that leave the queue for each batch request that does.
 const BATCH_EVERY: u32 = 8;
 
+/// Client accounts whose turns are remembered at most.
+const REMEMBERED: usize = 256;
+
 /// One request that waits.
 #[derive(Clone, Debug)]
 struct Waiter<T> {
-    account: Option<name::Account>,
+    flow: u64,
     deadline: Option<instant::Instant>,
     arrival: u64,
     item: T,
@@ -75,7 +81,8 @@
 pub struct Queue<T> {
     bound: usize,
     waiters: Vec<Waiter<T>>,
-    served: collections::BTreeMap<Option<name::Account>, u64>,
+    served: collections::HashMap<u64, u64>,
+    round: u64,
     arrivals: u64,
     turns: u32,
 }
@@ -87,7 +94,8 @@
         Self {
             bound: bound as usize,
             waiters: Vec::new(),
-            served: collections::BTreeMap::new(),
+            served: collections::HashMap::new(),
+            round: 0,
             arrivals: 0,
             turns: 0,
         }
@@ -123,10 +131,12 @@
         speed: Speed,
         now: instant::Instant,
     ) -> Entered<T> {
-        let loser = self.loser(&entrant);
+        let flow = flow(entrant.account.as_ref());
+        let flows = self.flows(&entrant);
+        let loser = self.loser(&entrant, flow, &flows);
         let inputs = admission::Admission {
-            ahead: count(self.ahead(&entrant)),
-            waiting: count(self.line(&entrant).count()),
+            ahead: count(self.ahead(&entrant, flow, &flows)),
+            waiting: count(flows.len()),
             bound: count(self.bound),
             width: speed.width,
             service: speed.service,
@@ -144,7 +154,7 @@
         }
         self.arrivals += 1;
         let waiter = Waiter {
-            account: entrant.account,
+            flow,
             deadline: entrant.deadline,
             arrival: self.arrivals,
             item: entrant.item,
@@ -170,7 +180,7 @@
         }
         let place = self.next()?;
         let waiter = self.waiters.swap_remove(place);
-        self.charge(waiter.account);
+        self.charge(waiter.flow);
         Some(Left::Turn(waiter.item))
     }
 
@@ -209,38 +219,40 @@
     /// Returns the next of the requests that `takes` lets through.
     fn place(&self, takes: impl Fn(&Waiter<T>) -> bool) -> Option<usize> {
         let waiters = || self.waiters.iter().enumerate().filter(|(_, w)| takes(w));
-        let least = waiters().map(|(_, w)| self.tag(&w.account)).min()?;
+        let least = waiters().map(|(_, w)| self.tag(w.flow)).min()?;
         waiters()
-            .filter(|(_, w)| self.tag(&w.account) <= least + SLACK)
+            .filter(|(_, w)| self.tag(w.flow) <= least + SLACK)
             .min_by_key(|(_, w)| (w.deadline, w.arrival))
             .map(|(place, _)| place)
     }
 
-    /// Returns the turns that an account has had, reckoned from the least served.
-    #[expect(clippy::ref_option, reason = "the map is keyed by the option")]
-    fn tag(&self, account: &Option<name::Account>) -> u64 {
-        self.served.get(account).copied().unwrap_or(0)
+    /// Returns the round in which an account's next turn is due.
+    fn tag(&self, flow: u64) -> u64 {
+        self.served.get(&flow).copied().unwrap_or(0).max(self.round)
     }
 
-    /// Counts a turn; accounts that wait for nothing more are forgotten.
-    fn charge(&mut self, account: Option<name::Account>) {
-        *self.served.entry(account).or_default() += 1;
-        let waiting = |account: &Option<name::Account>| {
-            self.waiters.iter().any(|waiter| waiter.account == *account)
-        };
-        let floor = self
+    /// Counts a turn of an account.
+    ///
+    /// Accounts whose turns lie in earlier rounds need no memory; when too many
+    /// are remembered, the round ends early.
+    fn charge(&mut self, flow: u64) {
+        if self.waiters.is_empty() {
+            self.served.clear();
+            self.round = 0;
+            return;
+        }
+        let tag = self.tag(flow);
+        self.served.insert(flow, tag + 1);
+        let least = self
             .waiters
             .iter()
-            .map(|waiter| self.served.get(&waiter.account).copied().unwrap_or(0))
+            .map(|waiter| self.tag(waiter.flow))
             .min();
-        let Some(floor) = floor else {
-            self.served.clear();
-            return;
-        };
-        let keeps = |account: &Option<name::Account>, tag: &u64| *tag > floor || waiting(account);
-        self.served.retain(|account, tag| keeps(account, tag));
-        for tag in self.served.values_mut() {
-            *tag -= floor.min(*tag);
+        self.round = self.round.max(least.unwrap_or(0));
+        if self.served.len() > REMEMBERED {
+            self.round += 1;
+            let round = self.round;
+            self.served.retain(|_flow, tag| *tag > round);
         }
     }
 
@@ -253,55 +265,61 @@
             .filter(move |(_, waiter)| waiter.deadline.is_none() == is_batch)
     }
 
+    /// Returns the accounts of the requests in the same line, sorted.
+    fn flows(&self, entrant: &Entrant<T>) -> Vec<u64> {
+        let mut flows: Vec<u64> = self.line(entrant).map(|(_, waiter)| waiter.flow).collect();
+        flows.sort_unstable();
+        flows
+    }
+
     /// Returns the requests that would be served before this one.
     ///
     /// Fair turns let each other account go ahead as often as this one waits,
     /// and the batch line takes its turns in between.
-    fn ahead(&self, entrant: &Entrant<T>) -> usize {
+    fn ahead(&self, entrant: &Entrant<T>, flow: u64, flows: &[u64]) -> usize {
         let own = self
             .line(entrant)
-            .filter(|(_, waiter)| waiter.account == entrant.account)
-            .filter(|(_, waiter)| waiter.deadline <= entrant.deadline)
+            .filter(|(_, waiter)| waiter.flow == flow && waiter.deadline <= entrant.deadline)
             .count();
         let turns = own + 1 + usize::try_from(SLACK).unwrap_or(0);
-        let others = self.counts(entrant).into_iter();
-        let ahead = others
-            .filter(|(account, _)| **account != entrant.account)
-            .map(|(_, waiting)| turns.min(waiting))
-            .sum::<usize>()
-            + own;
-        let batch = self.waiters.len() - self.line(entrant).count();
+        let ahead = own
+            + flows
+                .chunk_by(|a, b| a == b)
+                .filter(|group| group[0] != flow)
+                .map(|group| turns.min(group.len()))
+                .sum::<usize>();
+        let batch = self.waiters.len() - flows.len();
         let batch_turns = (ahead + 1).div_ceil(BATCH_EVERY as usize - 1);
         ahead + batch.min(batch_turns)
     }
 
-    /// Counts the requests of each account in the same line.
-    fn counts(&self, entrant: &Entrant<T>) -> collections::BTreeMap<&Option<name::Account>, usize> {
-        let mut counts = collections::BTreeMap::new();
-        for (_, waiter) in self.line(entrant) {
-            *counts.entry(&waiter.account).or_default() += 1;
-        }
-        counts
-    }
-
     /// Returns the place of the request that this one displaces from a full line.
-    fn loser(&self, entrant: &Entrant<T>) -> Option<usize> {
-        if self.line(entrant).count() < self.bound {
+    fn loser(&self, entrant: &Entrant<T>, flow: u64, flows: &[u64]) -> Option<usize> {
+        if flows.len() < self.bound {
             return None;
         }
-        let counts = self.counts(entrant);
-        let own = counts.get(&entrant.account).copied().unwrap_or(0);
-        let (account, most) = counts.into_iter().max_by_key(|(_, count)| *count)?;
-        if most <= own + 1 {
+        let groups = || flows.chunk_by(|a, b| a == b);
+        let own = groups()
+            .find(|group| group[0] == flow)
+            .map_or(0, <[u64]>::len);
+        let most = groups().max_by_key(|group| group.len())?;
+        if most.len() <= own + 1 {
             return None;
         }
         self.line(entrant)
-            .filter(|(_, waiter)| waiter.account == *account)
+            .filter(|(_, waiter)| waiter.flow == most[0])
             .max_by_key(|(_, waiter)| (waiter.deadline, waiter.arrival))
             .map(|(place, _)| place)
     }
 }
 
+/// Returns the number under which an account's requests are counted.
+fn flow(account: Option<&name::Account>) -> u64 {
+    let mut hasher = hash::DefaultHasher::new();
+    account.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn remaining(deadline: instant::Instant, now: instant::Instant) -> u32 {
     u32::try_from(deadline.since(now).as_micros()).unwrap_or(u32::MAX)
 }
