--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,7 +3,7 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "blocks, budgets, capacity, decision, once";
+pub const NAMES: &str = "blocks, budgets, capacity, decision, once, steering or steering-cost";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +18,10 @@
     Decision,
     /// Cost of the ledger of idempotency keys.
     Once,
+    /// Steering against a naive version.
+    Steering,
+    /// Cost of admission and target choice.
+    SteeringCost,
 }
 
 /// What to run and how to print it.
@@ -52,6 +56,8 @@
             "capacity" => Experiment::Capacity,
             "decision" => Experiment::Decision,
             "once" => Experiment::Once,
+            "steering" => Experiment::Steering,
+            "steering-cost" => Experiment::SteeringCost,
             _ => return Err(error::Error::Unknown(flags.name)),
         };
         Ok(Self {
