--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -95,7 +95,7 @@
     let steer = &mut fleet.hosts[first].steer;
     steer.kill().expect("the control process is killed");
     steer.wait().expect("the control process has ended");
-    let late = time::Instant::now() + (SPAN - LATE);
+    let late = time::Instant::now() + SPAN.saturating_sub(LATE);
     let after = call_all(&fleet, SPAN).await;
     let served = [before, after.clone()].concat();
     let excess = excess(&served);
