--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,8 @@
 mod error;
 mod once;
 pub mod options;
+mod steering;
+mod steering_cost;
 
 pub use error::{Error, Result};
 
@@ -23,5 +25,7 @@
         options::Experiment::Budgets => budgets::run(&options),
         options::Experiment::Decision => decision::run(&options),
         options::Experiment::Once => once::run(&options),
+        options::Experiment::Steering => steering::run(&options),
+        options::Experiment::SteeringCost => steering_cost::run(&options),
     }
 }
