A holder helps itself only with a row that it did not bar

A holder whose renewal took effect, but whose answer was late, was asked to bar the newer version of its own row.

Change: a process that knows itself to be the holder refuses to bar, and a holder's own bars keep it from helping itself.

--- a/crates/core/src/lease/seat.rs
+++ b/crates/core/src/lease/seat.rs
@@ -8,6 +8,7 @@
 use crate::member;
 use crate::name;
 
+use super::Bars;
 use super::Tenure;
 
 /// Content of a lease's row in the table.
@@ -210,15 +211,21 @@
     }
 
     /// Takes note that a member helps this holder, in answer to a question sent at `asked`.
+    ///
+    /// `bars` are this process's own: it counts as a helper of itself only while
+    /// it did not bar the row, which it may have before it knew the row for its own.
     pub fn help(
         &mut self,
         member: &name::Incarnation,
-        version: u64,
+        held: (&str, u64),
+        bars: &Bars,
         roster: &member::Roster,
         asked: instant::Instant,
     ) {
         self.enter(roster.generation);
-        if self.held_version() == Some(version) && !self.is_released {
+        let (lease, version) = held;
+        let is_helping = self.held_version() == Some(version) && !self.is_released;
+        if is_helping && bars.is_open(lease, version) {
             let at = self.helped.entry(member.clone()).or_default();
             *at = asked.max(*at);
             self.extend(roster);
--- a/crates/core/tests/lease_seat.rs
+++ b/crates/core/tests/lease_seat.rs
@@ -159,3 +159,54 @@
     seat.read(seen, at(2_100), at(2_200));
     assert_eq!(seat.decide(&roster, at(9_000)), lease::Action::Bar(5));
 }
+
+fn roster(names: [&str; 3]) -> member::Roster {
+    let member = |name: &str| member::Member {
+        incarnation: life(name),
+        host: name::Host::new(name).expect("a good name"),
+        zone: name::Zone::new(name).expect("a good name"),
+        steer: "127.0.0.1:1".parse().expect("a good address"),
+    };
+    member::Roster {
+        generation: 7,
+        members: names.map(member).to_vec(),
+        ..member::Roster::default()
+    }
+}
+
+/// Returns the holder after helpers answered, and after it barred a version of the row itself.
+fn helped(barred: Option<u64>) -> lease::Seat {
+    let roster = roster(["a", "b", "c"]);
+    let mut seat = seat("a");
+    let mut bars = lease::Bars::new();
+    seat.read(lease::Seen::default(), at(0), at(0));
+    let lease::Action::Write { version, row } = seat.decide(&roster, at(0)) else {
+        panic!("a free lease is taken");
+    };
+    seat.send(version, row, at(0));
+    seat.written(version);
+    // The renewal takes effect, but its answer is lost: the row is at 2, not known here.
+    let lease::Action::Write { version, row } = seat.decide(&roster, at(2_000)) else {
+        panic!("a held lease is renewed");
+    };
+    seat.send(version, row, at(2_000));
+    if let Some(version) = barred {
+        bars.bar("lease", version);
+    }
+    for helper in ["b", "c"] {
+        seat.help(&life(helper), ("lease", 1), &bars, &roster, at(3_000));
+    }
+    seat
+}
+
+#[test]
+fn a_holder_that_barred_its_own_unknown_renewal_does_not_help_itself() {
+    assert!(
+        helped(None).tenure().is_held(at(6_900)),
+        "helped by all three"
+    );
+    assert!(
+        !helped(Some(2)).tenure().is_held(at(4_000)),
+        "only two of three help"
+    );
+}
--- a/crates/core/tests/member_model.rs
+++ b/crates/core/tests/member_model.rs
@@ -518,7 +518,7 @@
             }
             Op::Bar { to, version } => {
                 let host = &mut self.hosts[*to];
-                let is_barred = host.seat.held_version() != Some(*version);
+                let is_barred = host.seat.held_version().is_none();
                 if is_barred {
                     host.bars.bar(LEASE, *version);
                 }
@@ -613,7 +613,8 @@
                 {
                     let roster = host.node.roster().clone();
                     if answer.generation == roster.generation {
-                        host.seat.help(&answer.from, *version, &roster, asked);
+                        host.seat
+                            .help(&answer.from, (LEASE, *version), &host.bars, &roster, asked);
                     }
                 }
             }
--- a/crates/steer/src/known.rs
+++ b/crates/steer/src/known.rs
@@ -177,15 +177,16 @@
         for held in &reply.helped {
             if let Some(seat) = self.seats.get_mut(&held.lease) {
                 let roster = self.node.roster();
-                seat.help(&reply.answer.from, held.version, roster, asked);
+                let row = (held.lease.as_str(), held.version);
+                seat.help(&reply.answer.from, row, &self.bars, roster, asked);
             }
         }
     }
 
-    /// Stops helping the holder of a lease, unless that is this process.
+    /// Stops helping the holder of a lease, unless this process knows itself to be the holder.
     pub fn bar(&mut self, lease: &str, version: u64) -> bool {
         let seat = self.seats.get(lease);
-        if seat.and_then(lease::Seat::held_version) == Some(version) {
+        if seat.and_then(lease::Seat::held_version).is_some() {
             return false;
         }
         self.bars.bar(lease, version);
