--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,17 +3,21 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "decision, steering or steering-cost";
+pub const NAMES: &str = "budgets, decision, once, steering, steering-cost";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experiment {
+    /// Ways of keeping one budget over all entry hosts.
+    Budgets,
     /// Cost of reading the route of a request.
     Decision,
     /// Steering against a naive version.
     Steering,
     /// Cost of admission and target choice.
     SteeringCost,
+    /// Cost of the ledger of idempotency keys.
+    Once,
 }
 
 /// What to run and how to print it.
@@ -43,9 +47,11 @@
             optional --seed seed: u64
         };
         let experiment = match flags.name.as_str() {
+            "budgets" => Experiment::Budgets,
             "decision" => Experiment::Decision,
             "steering" => Experiment::Steering,
             "steering-cost" => Experiment::SteeringCost,
+            "once" => Experiment::Once,
             _ => return Err(error::Error::Unknown(flags.name)),
         };
         Ok(Self {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,16 +1,23 @@
 //! One exchange with a target.
 
+use std::sync;
+
 use http_body_util::BodyExt as _;
 use hyper::header;
 use skylark_core::name;
+use skylark_core::quarantine as wards;
 use skylark_core::record;
 use skylark_core::steer;
 use skylark_runtime::clock;
 use skylark_wire::header as names;
+use tokio::sync::oneshot;
 
 use super::answer;
 use super::exchange;
+use super::identity;
 use super::pool;
+use super::quarantine;
+use super::state;
 
 /// Why an exchange gave no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +26,8 @@
     NotStarted,
     /// The target says that it did not start the request: another may.
     Shed(steer::Word),
+    /// The request was not allowed any more when the connection stood.
+    Withheld,
     /// The connection broke after the request may have been started.
     Broken,
     /// The target's answer cannot be trusted to be whole and the request's own.
@@ -32,15 +41,92 @@
 
 /// Sends the request to one target and waits for its whole answer.
 ///
+/// An exchange that is late, or whose caller went away, is watched a little longer where
+/// no target has answered its fingerprint yet: a crash that it causes is to be seen.
+///
+/// The request's key is checked again after the connection stands, before the first byte.
+///
 /// # Errors
 ///
 /// Fails with what is known of a start when no whole answer arrives in time.
 pub async fn send(
+    state: &sync::Arc<state::State>,
+    stay: quarantine::Stay,
+    target: &record::Target,
+    request: &exchange::Request,
+    account: Option<&name::Account>,
+) -> Result<exchange::Answer> {
+    let (sender, receiver) = oneshot::channel();
+    let watched = Watched {
+        state: sync::Arc::clone(state),
+        stay,
+        target: target.clone(),
+        request: request.clone(),
+        account: account.cloned(),
+    };
+    tokio::spawn(watched.run(sender));
+    match tokio::time::timeout(request.left(state.clock.now()), receiver).await {
+        Ok(result) => result.unwrap_or(Err(Failure::Unknown)),
+        Err(_elapsed) => Err(Failure::TimedOut),
+    }
+}
+
+/// An exchange that may outlive the wait of its caller.
+struct Watched {
+    state: sync::Arc<state::State>,
+    stay: quarantine::Stay,
+    target: record::Target,
+    request: exchange::Request,
+    account: Option<name::Account>,
+}
+
+impl Watched {
+    async fn run(self, mut sender: oneshot::Sender<Result<exchange::Answer>>) {
+        let pool = &self.state.pool;
+        let account = self.account.as_ref();
+        let clock = &self.state.clock;
+        let is_allowed = || {
+            let credential = self.request.credential;
+            identity::recheck(&self.state.view(), credential, clock.now()).is_ok()
+        };
+        let exchange = attempt(
+            pool,
+            &self.target,
+            &self.request,
+            account,
+            clock,
+            is_allowed,
+        );
+        let mut exchange = Box::pin(exchange);
+        let result = tokio::select! {
+            result = &mut exchange => result,
+            () = sender.closed() => {
+                let grace = tokio::time::timeout(self.stay.grace(), &mut exchange);
+                grace.await.unwrap_or(Err(Failure::TimedOut))
+            }
+        };
+        drop(exchange);
+        self.stay.end(ending(&result, &self.target.name));
+        let _unheard = sender.send(result);
+    }
+}
+
+/// Returns what an exchange tells of its request's fingerprint.
+fn ending(result: &Result<exchange::Answer>, target: &name::Target) -> wards::Ending {
+    match result {
+        Ok(_answer) => wards::Ending::Answered,
+        Err(Failure::Broken) => wards::Ending::Died(target.clone()),
+        Err(_other) => wards::Ending::Neither,
+    }
+}
+
+async fn attempt(
     pool: &pool::Pool,
     target: &record::Target,
     request: &exchange::Request,
     account: Option<&name::Account>,
     clock: &clock::Clock,
+    is_allowed: impl Fn() -> bool,
 ) -> Result<exchange::Answer> {
     let left = request.left(clock.now());
     let connecting = tokio::time::timeout(left, pool.take(target.address)).await;
@@ -52,10 +138,10 @@
     if left.is_zero() {
         return Err(Failure::NotStarted);
     }
-    match tokio::time::timeout(left, run(pool, target, request, sender, outgoing)).await {
-        Ok(result) => result,
-        Err(_elapsed) => Err(Failure::TimedOut),
+    if !is_allowed() {
+        return Err(Failure::Withheld);
     }
+    run(pool, target, request, sender, outgoing).await
 }
 
 async fn run(
