--- a/crates/bench/src/steering/host.rs
+++ b/crates/bench/src/steering/host.rs
@@ -95,7 +95,7 @@
                 steer::Choice::Late | steer::Choice::Nowhere => return Step::Refuse,
             }
         }
-        let speed = self.speed();
+        let speed = self.pool.speed();
         let entered = self.queue.enter(
             steer::Entrant {
                 account: name::Account::new(&format!("a{}", request.arrival.account)).ok(),
@@ -118,7 +118,7 @@
         if self.queue.is_empty() || !self.pool.has_room(|_, used| has_share(used, hosts), at) {
             return None;
         }
-        match self.queue.leave(self.speed().answer, at)? {
+        match self.queue.leave(self.pool.speed().answer, at)? {
             steer::Left::Turn(id) => Some((id, true)),
             steer::Left::Late(id) => Some((id, false)),
         }
@@ -160,14 +160,6 @@
         let target = self.targets[self.rng.random_range(0..self.targets.len())];
         Step::Send(u32::try_from(target).unwrap_or(0))
     }
-
-    fn speed(&self) -> steer::Speed {
-        steer::Speed {
-            width: self.pool.own().max(1),
-            service: self.pool.mean(),
-            answer: self.pool.mean(),
-        }
-    }
 }
 
 fn deadline(request: &Request) -> instant::Instant {
--- a/crates/core/src/steer/pool.rs
+++ b/crates/core/src/steer/pool.rs
@@ -13,10 +13,12 @@
 use super::known;
 use super::mean;
 use super::place;
+use super::queue;
 use super::tier;
 
 const FIRST_SERVICE: u32 = 1_000;
 const SWEEP: time::Duration = time::Duration::from_millis(100);
+const TAIL: u32 = 2;
 const EJECTED_PART: usize = 2;
 
 /// How much of a region's slots this host uses.
@@ -109,6 +111,19 @@
         self.mean.get(FIRST_SERVICE)
     }
 
+    /// Returns how fast this host gets slots: while requests wait, its own are all it gets.
+    ///
+    /// An answer is reckoned at twice the mean, as many take longer than it.
+    #[must_use]
+    pub fn speed(&self) -> queue::Speed {
+        let service = self.mean();
+        queue::Speed {
+            width: self.own.max(1),
+            service,
+            answer: service.saturating_mul(TAIL),
+        }
+    }
+
     /// Chooses a target, and returns what the choice depended on.
     ///
     /// `allows` states whether the budgets of the way to a region, and of its
--- a/crates/entry/src/balance/line.rs
+++ b/crates/entry/src/balance/line.rs
@@ -222,15 +222,13 @@
                 .is_some_and(|pool| pool.has_room(allows, now))
     }
 
-    /// Returns how fast this host gets slots: while requests wait, its own are all it gets.
     fn speed(&self) -> steer::Speed {
-        let pool = self.pool.as_ref();
-        let service = pool.map_or(0, steer::Pool::mean);
-        steer::Speed {
-            width: pool.map_or(1, steer::Pool::own).max(1),
-            service,
-            answer: service,
-        }
+        let none = steer::Speed {
+            width: 1,
+            service: 0,
+            answer: 0,
+        };
+        self.pool.as_ref().map_or(none, steer::Pool::speed)
     }
 }
 
