--- a/crates/core/src/steer/drain.rs
+++ b/crates/core/src/steer/drain.rs
@@ -18,8 +18,8 @@
 /// What is known of a target's leaving.
 ///
 /// The target's own word outlasts a list that lags: it is withdrawn only when
-/// health answers without the word have come for a while, or when the list
-/// showed the host leaving and shows it live again.
+/// health answers without the word have come for a while, when the list showed
+/// the host leaving and shows it live again, or when a recorded drain ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Drain {
     by_record: bool,
@@ -44,8 +44,11 @@
         self.word.is_some()
     }
 
-    /// Takes the records' statement.
+    /// Takes the records' statement; the end of a recorded drain ends the target's word too.
     pub fn set_record(&mut self, is_drained: bool) {
+        if self.by_record && !is_drained {
+            self.word = None;
+        }
         self.by_record = is_drained;
     }
 
--- a/crates/core/tests/steer_pool.rs
+++ b/crates/core/tests/steer_pool.rs
@@ -233,6 +233,21 @@
     assert_eq!(choose(&mut pool, 3, 13 * SECOND), steer::Choice::Target(0));
 }
 
+/// An operator can bring a target back that said it was leaving.
+#[test]
+fn the_end_of_a_recorded_drain_ends_the_target_s_word() {
+    let mut first = pool(&catalog(1, None), None, 0);
+    let leaving = steer::Word {
+        running: None,
+        is_leaving: true,
+    };
+    first.start(0, at(0));
+    first.end(0, steer::End::Answered(MILLI), leaving, at(0));
+    let drained = pool(&catalog(1, Some(0)), Some(&first), SECOND);
+    let mut back = pool(&catalog(1, None), Some(&drained), 2 * SECOND);
+    assert_eq!(choose(&mut back, 1, 2 * SECOND), steer::Choice::Target(0));
+}
+
 /// A target that always reports to be idle while it sheds must not draw the traffic.
 #[test]
 fn a_target_that_lies_about_its_load_does_not_attract_the_traffic() {
