--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Experiments and benchmarks on the decisions, one module an experiment.
 
 mod budgets;
+mod burn;
 mod decision;
 mod error;
 mod once;
@@ -17,6 +18,7 @@
     let options = options::Options::from_args()?;
     match options.experiment {
         options::Experiment::Budgets => budgets::run(&options),
+        options::Experiment::Burn => burn::run(&options),
         options::Experiment::Decision => decision::run(&options),
         options::Experiment::Once => once::run(&options),
     }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,13 +3,15 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "budgets, decision, once";
+pub const NAMES: &str = "budgets, burn, decision, once";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experiment {
     /// Ways of keeping one budget over all entry hosts.
     Budgets,
+    /// Cost of the burn report.
+    Burn,
     /// Cost of reading the route of a request.
     Decision,
     /// Cost of the ledger of idempotency keys.
@@ -44,6 +46,7 @@
         };
         let experiment = match flags.name.as_str() {
             "budgets" => Experiment::Budgets,
+            "burn" => Experiment::Burn,
             "decision" => Experiment::Decision,
             "once" => Experiment::Once,
             _ => return Err(error::Error::Unknown(flags.name)),
