Count as wrongful what one bucket would have admitted

Change: a refusal over the rate is charged where the bucket has a token, as one bucket would have admitted it.

--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -177,6 +177,9 @@
     version: unit::Version,
     limit: time::Duration,
 ) -> Reach {
+    if limit.is_zero() {
+        return Reach::Written;
+    }
     let start = time::Instant::now();
     let mut watch = Watch::default();
     let mut shown = None;
@@ -192,7 +195,7 @@
             (true, true) => Reach::InForce,
         };
         if reach == Reach::InForce || start.elapsed() >= limit {
-            warn(&behind);
+            warn(&behind, is_silent);
             return reach;
         }
         if is_read && shown != Some(behind.len()) {
@@ -218,9 +221,13 @@
 }
 
 /// Names zones without the version; cut off, they refuse keyed routes once their records are stale.
-fn warn(behind: &[&Standing]) {
+fn warn(behind: &[&Standing], is_silent: bool) {
     for zone in behind {
-        let word = if zone.is_heard { "behind:" } else { "silent:" };
+        let word = if is_silent && !zone.is_heard {
+            "silent:"
+        } else {
+            "behind:"
+        };
         let label = print::styled(print::WARN, word);
         print::progress(&format!(
             "{label} availability zone {} last had version {} in force",
--- a/crates/core/src/burn/bucket.rs
+++ b/crates/core/src/burn/bucket.rs
@@ -29,24 +29,27 @@
         }
     }
 
-    /// Charges a request unless it was refused, and returns whether there was a token for it.
+    /// Returns whether there is a token for a request, and charges it as one bucket would have.
     pub fn pass(&mut self, decision: &decision::Decision) -> bool {
         let millis = decision.at.as_millis().saturating_sub(self.at.as_millis());
         let gained = self.rate.saturating_mul(millis);
         self.parts = self.parts.saturating_add(gained).min(self.size);
         self.at = self.at.max(decision.at);
         let has_token = self.parts >= PARTS_PER_TOKEN;
-        if is_charged(&decision.verdict) {
-            self.parts = self.parts.saturating_sub(PARTS_PER_TOKEN);
+        if has_token && is_charged(&decision.verdict) {
+            self.parts -= PARTS_PER_TOKEN;
         }
         has_token
     }
 }
 
-/// A refusal that ran nothing charges nothing.
+/// What was refused as over the rate is charged, as one bucket would have admitted it;
+/// what was refused for another reason and ran nothing is not.
 const fn is_charged(verdict: &decision::Verdict) -> bool {
     match verdict {
         decision::Verdict::Served { .. } => true,
-        decision::Verdict::Refused { outcome, .. } => matches!(outcome, kind::Outcome::Unknown),
+        decision::Verdict::Refused { kind, outcome } => {
+            matches!(kind, kind::ErrorKind::OverRate) || matches!(outcome, kind::Outcome::Unknown)
+        }
     }
 }
