--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,19 +3,28 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "budgets, burn, decision, once";
+pub const NAMES: &str =
+    "blocks, budgets, burn, capacity, decision, once, steering or steering-cost";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experiment {
+    /// Table of blocks of clients.
+    Blocks,
     /// Ways of keeping one budget over all entry hosts.
     Budgets,
     /// Cost of the burn report.
     Burn,
+    /// Slopes for the page on capacity.
+    Capacity,
     /// Cost of reading the route of a request.
     Decision,
     /// Cost of the ledger of idempotency keys.
     Once,
+    /// Steering against a naive version.
+    Steering,
+    /// Cost of admission and target choice.
+    SteeringCost,
 }
 
 /// What to run and how to print it.
@@ -45,10 +54,14 @@
             optional --seed seed: u64
         };
         let experiment = match flags.name.as_str() {
+            "blocks" => Experiment::Blocks,
             "budgets" => Experiment::Budgets,
             "burn" => Experiment::Burn,
+            "capacity" => Experiment::Capacity,
             "decision" => Experiment::Decision,
             "once" => Experiment::Once,
+            "steering" => Experiment::Steering,
+            "steering-cost" => Experiment::SteeringCost,
             _ => return Err(error::Error::Unknown(flags.name)),
         };
         Ok(Self {
