--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod blocks;
 mod budgets;
+mod burn;
 mod capacity;
 mod decision;
 mod error;
@@ -23,6 +24,7 @@
         options::Experiment::Blocks => blocks::run(&options),
         options::Experiment::Capacity => capacity::run(&options),
         options::Experiment::Budgets => budgets::run(&options),
+        options::Experiment::Burn => burn::run(&options),
         options::Experiment::Decision => decision::run(&options),
         options::Experiment::Once => once::run(&options),
         options::Experiment::Steering => steering::run(&options),
