--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -21,7 +21,6 @@
 use super::state;
 use super::view;
 
-const FLUSH_PERIOD: time::Duration = time::Duration::from_millis(500);
 const CAPACITY: usize = 65_536;
 const OBJECT: usize = 4_096;
 
@@ -225,7 +224,7 @@
 /// Never fails: decisions stay in memory while the platform is away.
 pub async fn run(state: sync::Arc<state::State>) -> io::Result<()> {
     loop {
-        tokio::time::sleep(FLUSH_PERIOD).await;
+        tokio::time::sleep(state.view().write_period()).await;
         flush(&state).await;
     }
 }
--- a/crates/entry/src/once/copy.rs
+++ b/crates/entry/src/once/copy.rs
@@ -12,10 +12,6 @@
 
 use crate::state;
 
-/// Shortest time between copies.
-const FLUSH_PERIOD: time::Duration = time::Duration::from_millis(500);
-/// Time between copies for each known host, which bounds the writes of all hosts together.
-const HOST_PERIOD: time::Duration = time::Duration::from_millis(10);
 const END_LIMIT: time::Duration = time::Duration::from_secs(3);
 const END_PAUSE: time::Duration = time::Duration::from_millis(100);
 
@@ -26,9 +22,7 @@
 /// Never fails: outcomes stay in memory, bounded, while the platform is away.
 pub async fn keep(state: sync::Arc<state::State>) -> io::Result<()> {
     loop {
-        let hosts = u32::try_from(state.view().hosts.len()).unwrap_or(u32::MAX);
-        let period = HOST_PERIOD.saturating_mul(hosts).max(FLUSH_PERIOD);
-        tokio::time::sleep(period).await;
+        tokio::time::sleep(state.view().write_period()).await;
         flush(&state).await;
         measure(&state);
     }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -1,12 +1,19 @@
 //! What the entry process has in force.
 
 use std::sync;
+use std::time;
 
 use skylark_core::catalog;
 use skylark_core::instant;
 use skylark_core::unit;
 use skylark_wire::control;
 
+/// Shortest time between two pooled writes to the platform.
+const WRITE_PERIOD: time::Duration = time::Duration::from_millis(500);
+
+/// Time between pooled writes for each known host.
+const HOST_PERIOD: time::Duration = time::Duration::from_millis(10);
+
 /// Records and hosts in force, with the time of their last proof.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -41,4 +48,13 @@
         let bound = self.catalog.policy.stale_after.get();
         self.fresh_at.is_some_and(|at| now.since(at) < bound)
     }
+
+    /// Returns the time between two pooled writes of one kind to the platform.
+    ///
+    /// It grows with the fleet, so that all hosts together write at most 100 times a second.
+    #[must_use]
+    pub fn write_period(&self) -> time::Duration {
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        HOST_PERIOD.saturating_mul(hosts).max(WRITE_PERIOD)
+    }
 }
