Wait for a home that look-ups name before the receiver knows it

Cause: a new host's look-up names its home before other entry processes hear of it; their receivers refused the order as home-unreachable.

Change: a home that is not in the view is awaited for half the time left, at most a second; the home is given the time that is left after that. A home that is gone but still in the view is refused at once as before.

--- a/crates/entry/src/once/peers.rs
+++ b/crates/entry/src/once/peers.rs
@@ -15,6 +15,8 @@
 use crate::state;
 
 const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(500);
+const UNKNOWN_LIMIT: time::Duration = time::Duration::from_secs(2);
+const KNOWN_PAUSE: time::Duration = time::Duration::from_millis(20);
 const NEWS_LIMIT: time::Duration = time::Duration::from_secs(2);
 
 /// Connections to the entry processes of other hosts, by their life.
@@ -45,12 +47,16 @@
 pub async fn pass(
     state: &state::State,
     holder: &name::Incarnation,
-    call: home::Call,
+    mut call: home::Call,
     limit: time::Duration,
 ) -> Passed {
+    let begun = time::Instant::now();
+    await_known(state, holder, limit.min(UNKNOWN_LIMIT) / 2).await;
+    let limit = limit.saturating_sub(begun.elapsed());
     let Some(client) = connected(state, holder, limit.min(CONNECT_LIMIT)).await else {
         return Passed::No;
     };
+    call.left_micros = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
     let mut context = context::current();
     context.deadline = time::Instant::now() + limit;
     if let Ok(reply) = client.begin(context, call).await {
@@ -60,6 +66,14 @@
     Passed::Lost
 }
 
+/// Waits until a home is known: look-ups may name a new one before this process hears of it.
+async fn await_known(state: &state::State, holder: &name::Incarnation, limit: time::Duration) {
+    let begun = time::Instant::now();
+    while address(state, holder).is_none() && begun.elapsed() < limit {
+        tokio::time::sleep(KNOWN_PAUSE).await;
+    }
+}
+
 /// Tells every other known host of a target that died.
 pub fn spread(state: &sync::Arc<state::State>, death: &quarantine::Death) {
     for host in state.view().hosts.iter() {
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -83,7 +83,7 @@
     let fresh = key(&fleet, 0, "fresh").await;
     let first = fleet.order(&fleet.hosts[1], &done, 1).await;
     let first = first.expect("an answer");
-    assert_eq!(first.status, 200);
+    assert_eq!(first.status, 200, "{first:?}");
     tokio::time::sleep(COPY_TIME).await;
     fleet.hosts[0].kill();
     let refused = fleet.order(&fleet.hosts[1], &fresh, 1).await;
@@ -272,3 +272,24 @@
     assert_eq!((again.status, &again.body), (200, &first.body));
     assert_eq!(fleet.starts(&key).await, 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_home_that_look_ups_name_is_known_to_every_receiver() {
+    let mut fleet = common::Fleet::start(&common::ZONES[..2]).await;
+    for index in 2..6_u8 {
+        let zone = common::ZONES[usize::from(index) % 4];
+        let host = fleet.start_host(index, zone);
+        fleet.hosts.push(host);
+        let new = fleet.hosts.last().expect("a host");
+        let named = async |fleet: &common::Fleet| {
+            let reply = fleet.lookup(new).await;
+            let home = reply["home"].as_str().unwrap_or_default().to_owned();
+            home.starts_with(&new.name)
+        };
+        fleet.wait("the new home to be named", named).await;
+        let key = key(&fleet, usize::from(index), "order-1").await;
+        let reply = fleet.order(&fleet.hosts[0], &key, 1).await;
+        let reply = reply.expect("an answer");
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+}
