--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -89,7 +89,7 @@
     if !place.route.idempotent {
         return once::receive(state, account, request).await;
     }
-    admit(state, place, account.as_ref(), &request)?;
+    admit(state, place, account.as_ref(), &request).await?;
     run(state, place, account.as_ref(), &request).await
 }
 
@@ -102,14 +102,16 @@
     mut head: hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> exchange::Result<(Option<name::Account>, catalog::Place<'a>, exchange::Request)> {
-    if !view.is_ready() {
+    if !view.is_ready() || !state.purse.is_ready(state.clock.now()) {
         return Err(exchange::Refusal::new(kind::ErrorKind::NotReady));
     }
     let place = view.catalog.route(head.method.as_str(), head.uri.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
     let caller = identity::authenticate(view, place.route, &head.headers, state.clock.now())?;
     scrub::scrub(&mut head, &view.catalog)?;
-    let limit = timeout(&head.headers, place)?;
+    let account = caller.as_ref().map(|caller| &caller.account);
+    let is_batch = place.is_batch(account.and_then(|name| view.catalog.accounts.get(name)));
+    let limit = timeout(&head.headers, place.service, is_batch)?;
     let body = read(body).await?;
     let request = exchange::Request {
         id: id.to_owned(),
@@ -138,12 +140,12 @@
         .catalog
         .route(request.method.as_str(), request.target.path());
     let place = place.ok_or(exchange::Refusal::new(kind::ErrorKind::NoRoute))?;
-    admit(state, place, account, request)?;
+    admit(state, place, account, request).await?;
     run(state, place, account, request).await
 }
 
 /// Admits a request within its account's rate; the decision on a refusal names the account.
-fn admit(
+async fn admit(
     state: &state::State,
     place: catalog::Place<'_>,
     account: Option<&name::Account>,
@@ -152,8 +154,8 @@
     let Some(account) = account else {
         return Ok(());
     };
-    let admitted = state.admission.admit(account, state.clock.now());
-    admitted.map_err(|refusal| {
+    let admitted = state.purse.admit(account, request.deadline, &state.clock);
+    admitted.await.map_err(|refusal| {
         let mut trace = journal::Trace::new(state, place.service, Some(account), request);
         let refusal = trace.check(refusal);
         trace.finish(state, &Err(refusal.clone()));
@@ -163,15 +165,12 @@
 
 fn timeout(
     headers: &hyper::HeaderMap,
-    place: catalog::Place<'_>,
+    service: &record::Service,
+    is_batch: bool,
 ) -> exchange::Result<time::Duration> {
     let Some(value) = headers.get(header::TIMEOUT) else {
-        let limit = place.service.deadline.get();
-        return Ok(if place.route.batch {
-            BATCH_LIMIT
-        } else {
-            limit
-        });
+        let limit = service.deadline.get();
+        return Ok(if is_batch { BATCH_LIMIT } else { limit });
     };
     let millis = value
         .to_str()
@@ -196,7 +195,9 @@
     request: &exchange::Request,
 ) -> exchange::Result<exchange::Answer> {
     let mut trace = journal::Trace::new(state, place.service, account, request);
-    let is_batch = place.route.batch && !request.headers.contains_key(header::TIMEOUT);
+    let view = state.view();
+    let is_batch = place.is_batch(account.and_then(|name| view.catalog.accounts.get(name)))
+        && !request.headers.contains_key(header::TIMEOUT);
     trace.deadline = (!is_batch).then(|| request.left(state.clock.now()));
     let result = attempts(state, place.service, account, request, &mut trace).await;
     trace.finish(state, &result);
