--- a/tests/steer.rs
+++ b/tests/steer.rs
@@ -123,3 +123,23 @@
     let report = String::from_utf8_lossy(&output.stdout);
     assert!(output.status.success(), "{report}");
 }
+
+/// All targets of the host's own region die; the other region's take over within its share.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_region_is_served_by_the_other() {
+    let fleet = common::Fleet::start(&common::ZONES[..1]).await;
+    for target in [0, 1] {
+        let dead = serde_json::json!({"mode": "dead"});
+        fleet.target_faults(target, &dead).await;
+    }
+    let mut good = 0;
+    for number in 0..60 {
+        let path = format!("/stock/lost-{number}");
+        let reply = fleet.get(&fleet.hosts[0], &path).await.expect("an answer");
+        if reply.status == 200 {
+            assert!(["target-2", "target-3"].contains(&target(&reply).as_str()));
+            good += u32::from(number >= 10);
+        }
+    }
+    assert!(good >= 44, "{good} of 50 after the targets were left out");
+}
