--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,7 +3,8 @@
 use super::error;
 
 /// Names of the experiments, for messages.
-pub const NAMES: &str = "blocks, budgets, capacity, decision, once, steering or steering-cost";
+pub const NAMES: &str =
+    "blocks, budgets, burn, capacity, decision, once, steering or steering-cost";
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,6 +13,8 @@
     Blocks,
     /// Ways of keeping one budget over all entry hosts.
     Budgets,
+    /// Cost of the burn report.
+    Burn,
     /// Slopes for the page on capacity.
     Capacity,
     /// Cost of reading the route of a request.
@@ -53,6 +56,7 @@
         let experiment = match flags.name.as_str() {
             "blocks" => Experiment::Blocks,
             "budgets" => Experiment::Budgets,
+            "burn" => Experiment::Burn,
             "capacity" => Experiment::Capacity,
             "decision" => Experiment::Decision,
             "once" => Experiment::Once,
