--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -102,7 +102,7 @@
     mut head: hyper::http::request::Parts,
     body: hyper::body::Incoming,
 ) -> exchange::Result<(Option<name::Account>, catalog::Place<'a>, exchange::Request)> {
-    if !view.is_ready() || !state.purse.is_ready(state.clock.now()) {
+    if !view.is_ready() || !state.purse.is_started(&state.clock).await {
         return Err(exchange::Refusal::new(kind::ErrorKind::NotReady));
     }
     let place = view.catalog.route(head.method.as_str(), head.uri.path());
--- a/crates/entry/src/purse/hold.rs
+++ b/crates/entry/src/purse/hold.rs
@@ -17,7 +17,9 @@
 /// Shortest time between two tries of a request that waits.
 const SHORTEST_WAIT: time::Duration = time::Duration::from_millis(2);
 /// Time after which a host takes requests even without slots of the reserve.
-const LONGEST_START: time::Duration = time::Duration::from_secs(5);
+const LONGEST_START: time::Duration = time::Duration::from_secs(3);
+/// Pause between two looks at whether the slots are in use.
+const START_STEP: time::Duration = time::Duration::from_millis(20);
 /// Longest time that a request waits for tokens.
 const LONGEST_WAIT: time::Duration = time::Duration::from_secs(1);
 
@@ -74,6 +76,18 @@
             || self.with(|held| held.holder.share() > budget::Share::NONE)
     }
 
+    /// Waits for a short time until the process is ready, and returns whether it is.
+    pub async fn is_started(&self, clock: &clock::Clock) -> bool {
+        let end = clock.now() + LONGEST_WAIT;
+        while !self.is_ready(clock.now()) {
+            if clock.now() >= end {
+                return false;
+            }
+            tokio::time::sleep(START_STEP).await;
+        }
+        true
+    }
+
     /// Takes one token of the account, waiting for the owner where the policy says so.
     ///
     /// # Errors
