Name a host only once it holds its part of the budgets

Change: an entry process says that it is starting until its slots are in use or 5 s have passed; look-ups do not name it meanwhile. Ruled out: the owner's loans, which reach a new host only after its control process lists it; a longer wait, which the request's deadline does not leave.

--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -101,6 +101,7 @@
 
 fn host_row(host: &roster::Life) -> Vec<String> {
     let phase = match host.phase {
+        control::Phase::Starting => "starting",
         control::Phase::Serving => "serving",
         control::Phase::Leaving => "leaving",
     };
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -63,8 +63,10 @@
 fn phase(state: &state::State) -> control::Phase {
     if state.is_leaving() {
         control::Phase::Leaving
-    } else {
+    } else if state.purse.is_ready(state.clock.now()) {
         control::Phase::Serving
+    } else {
+        control::Phase::Starting
     }
 }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -69,6 +69,8 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
+    /// Waits for its part of the budgets and is not named yet.
+    Starting,
     /// Takes new work.
     Serving,
     /// Finishes what it has and takes nothing new.
