Keep what targets tell entry hosts from callers

Cause: a target's answer was handed on with its load, and a target could set the header by which an entry host states whether a refused request ran. Change: four headers between targets and entry hosts are left out of answers.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -22,6 +22,14 @@
     "upgrade",
 ];
 
+/// Headers by which a target speaks to the entry host, or that only an entry host may set.
+const HOST_HEADERS: [&str; 4] = [
+    names::LOAD,
+    names::DRAINING,
+    names::NOT_STARTED,
+    names::OUTCOME,
+];
+
 /// Returns whether a header belongs to one connection only.
 #[must_use]
 pub fn is_hop(name: &header::HeaderName) -> bool {
@@ -34,7 +42,7 @@
     let mut response = hyper::Response::new(Body::new(answer.body));
     *response.status_mut() = answer.status;
     for (name, value) in &answer.headers {
-        if !is_hop(name) && *name != header::CONTENT_LENGTH {
+        if is_for_callers(name) {
             response.headers_mut().append(name, value.clone());
         }
     }
@@ -43,6 +51,11 @@
     response
 }
 
+fn is_for_callers(name: &header::HeaderName) -> bool {
+    let is_between = HOST_HEADERS.contains(&name.as_str());
+    !is_hop(name) && !is_between && *name != header::CONTENT_LENGTH
+}
+
 /// Tells the caller why there is no answer of a target.
 #[must_use]
 pub fn refusal(id: &str, refusal: &exchange::Refusal) -> hyper::Response<Body> {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -47,6 +47,11 @@
 export SKYLARK_PLATFORM=http://127.10.0.1:7000 SKYLARK_LOG=warn
 zones=(kol-ghat kol-howrah khu-rupsa khu-daulatpur bas-ichamati bas-taki)
 
+if "$bin/skylark-load" --url http://127.10.0.1:7000 call /counts >/dev/null 2>&1; then
+  echo "another run holds 127.10.0.1:7000: wait until it has ended" >&2
+  exit 1
+fi
+
 step "Start stand-ins for the platform and for 36 targets"
 start "$bin/skylark-standin" platform --listen 127.10.0.1:7000
 targets=()
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -14,6 +14,12 @@
         .await
         .expect("an answer");
     assert_eq!(reply.status, 200);
+    for name in [header::LOAD, header::DRAINING, header::OUTCOME] {
+        assert!(
+            !reply.headers.contains_key(name),
+            "{name} reached the caller"
+        );
+    }
     let said: serde_json::Value = serde_json::from_slice(&reply.body).expect("JSON");
     assert_eq!(said["account"], "shop");
     assert_eq!(said["path"], "/stock/oars");
