--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -162,4 +162,11 @@
 [ "$served" -gt 0 ] || fail "no other target served a request"
 echo "    $served calls answered, none by $drained"
 
+step "A decision, replayed from its records"
+id=$(sed -n 's/^request-id: //p' "$work/first")
+expect 'as recorded|same' "$bin/skylark" replay "$id"
+
+step "The burn report, the worst-served client account first"
+expect 'ghat-masters' "$bin/skylark" burn
+
 printf '\nEvery step showed what it should.\n'
