Start the three daemons by one piece of code

Change: runtime::process reads the command line and settings and runs the work; a daemon's errors are the frame's own.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,13 +3,11 @@
 mod answer;
 mod balance;
 mod control;
-mod error;
 mod exchange;
 mod forward;
 mod identity;
 mod journal;
 mod once;
-mod options;
 mod pipeline;
 mod pool;
 mod purse;
@@ -23,11 +21,11 @@
 use std::sync;
 
 use skylark_runtime::admin;
-use skylark_runtime::logs;
+use skylark_runtime::process;
 use skylark_runtime::stop;
 use skylark_runtime::supervisor;
 
-pub use error::{Error, Result};
+pub use skylark_runtime::error::{Error, Result};
 
 /// Runs the entry process that the command line describes.
 ///
@@ -35,16 +33,11 @@
 ///
 /// Fails on wrong settings or an address that cannot be bound.
 pub fn run() -> Result<()> {
-    let options = options::Options::from_args()?;
-    if options.is_check {
-        return Ok(());
-    }
-    logs::init("entry");
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(options.settings.threads)
-        .enable_all()
-        .build()?;
-    runtime.block_on(start(options.settings))
+    process::run(
+        "entry",
+        |settings: &settings::Settings| settings.threads,
+        start,
+    )
 }
 
 async fn start(settings: settings::Settings) -> Result<()> {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,10 +7,9 @@
 use hyper::service;
 use hyper_util::rt;
 use hyper_util::server::graceful;
-use skylark_runtime::error as frame;
+use skylark_runtime::error;
 use skylark_runtime::stop;
 
-use super::error;
 use super::pipeline;
 use super::state;
 
@@ -23,7 +22,7 @@
 /// Fails when the address cannot be bound.
 pub async fn bind(address: net::SocketAddr) -> error::Result<tokio::net::TcpListener> {
     let listener = tokio::net::TcpListener::bind(address).await;
-    Ok(listener.map_err(|cause| frame::Error::Bind { address, cause })?)
+    listener.map_err(|cause| error::Error::Bind { address, cause })
 }
 
 /// Serves callers until a stop is asked for and the longest cached look-up answer has run out.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the entry process.
 
+use std::num;
+
 use skylark_core::name;
 use skylark_core::record;
 use skylark_core::unit;
@@ -31,16 +33,16 @@
     pub drain: unit::Span,
     /// Worker threads.
     #[serde(default = "default_threads")]
-    pub threads: usize,
+    pub threads: num::NonZeroUsize,
 }
 
 const DEFAULT_DRAIN_MILLIS: u64 = 30_000;
-const DEFAULT_THREADS: usize = 2;
+const DEFAULT_THREADS: num::NonZeroUsize = num::NonZeroUsize::MIN.saturating_add(1);
 
 const fn default_drain() -> unit::Span {
     unit::Span::from_millis(DEFAULT_DRAIN_MILLIS)
 }
 
-const fn default_threads() -> usize {
+const fn default_threads() -> num::NonZeroUsize {
     DEFAULT_THREADS
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,12 +5,12 @@
 
 use skylark_core::name;
 use skylark_runtime::clock;
+use skylark_runtime::error;
 use skylark_runtime::identity;
 use skylark_runtime::metrics;
 use skylark_wire::platform;
 
 use super::balance;
-use super::error;
 use super::journal;
 use super::once;
 use super::pool;
--- a/crates/lookup/src/lib.rs
+++ b/crates/lookup/src/lib.rs
@@ -2,8 +2,6 @@
 
 mod answer;
 mod control;
-mod error;
-mod options;
 mod serve;
 mod settings;
 mod state;
@@ -11,12 +9,12 @@
 use std::sync;
 
 use skylark_runtime::admin;
-use skylark_runtime::logs;
+use skylark_runtime::process;
 use skylark_runtime::stop;
 use skylark_runtime::supervisor;
 
 pub use answer::{Answers, Entry, NAMED_HOSTS, Reply};
-pub use error::{Error, Result};
+pub use skylark_runtime::error::{Error, Result};
 
 /// Runs the look-up process that the command line describes.
 ///
@@ -24,16 +22,11 @@
 ///
 /// Fails on wrong settings or an address that cannot be bound.
 pub fn run() -> Result<()> {
-    let options = options::Options::from_args()?;
-    if options.is_check {
-        return Ok(());
-    }
-    logs::init("lookup");
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(options.settings.threads)
-        .enable_all()
-        .build()?;
-    runtime.block_on(start(options.settings))
+    process::run(
+        "lookup",
+        |settings: &settings::Settings| settings.threads,
+        start,
+    )
 }
 
 async fn start(settings: settings::Settings) -> Result<()> {
--- a/crates/lookup/src/serve.rs
+++ b/crates/lookup/src/serve.rs
@@ -10,10 +10,9 @@
 use hyper::header;
 use hyper::service;
 use hyper_util::rt;
-use skylark_runtime::error as frame;
+use skylark_runtime::error;
 use skylark_runtime::stop;
 
-use super::error;
 use super::state;
 
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
@@ -28,7 +27,7 @@
 /// Fails when the address cannot be bound.
 pub async fn bind(address: net::SocketAddr) -> error::Result<tokio::net::TcpListener> {
     let listener = tokio::net::TcpListener::bind(address).await;
-    Ok(listener.map_err(|cause| frame::Error::Bind { address, cause })?)
+    listener.map_err(|cause| error::Error::Bind { address, cause })
 }
 
 /// Answers look-ups until a stop is asked for.
--- a/crates/lookup/src/settings.rs
+++ b/crates/lookup/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the look-up process.
 
+use std::num;
+
 use skylark_core::name;
 use skylark_core::record;
 
@@ -23,11 +25,11 @@
     pub statsd: Option<record::Address>,
     /// Worker threads.
     #[serde(default = "default_threads")]
-    pub threads: usize,
+    pub threads: num::NonZeroUsize,
 }
 
-const DEFAULT_THREADS: usize = 2;
+const DEFAULT_THREADS: num::NonZeroUsize = num::NonZeroUsize::MIN.saturating_add(1);
 
-const fn default_threads() -> usize {
+const fn default_threads() -> num::NonZeroUsize {
     DEFAULT_THREADS
 }
--- a/crates/lookup/src/state.rs
+++ b/crates/lookup/src/state.rs
@@ -6,11 +6,11 @@
 use skylark_core::catalog;
 use skylark_core::unit;
 use skylark_runtime::clock;
+use skylark_runtime::error;
 use skylark_runtime::metrics;
 use skylark_wire::control;
 
 use super::answer;
-use super::error;
 use super::settings;
 
 const MILLIS_PER_SECOND: u64 = 1_000;
--- a/crates/runtime/src/error.rs
+++ b/crates/runtime/src/error.rs
@@ -39,6 +39,9 @@
         /// Why it cannot be bound.
         cause: io::Error,
     },
+    /// The command line names no settings file.
+    #[error("name the settings file, such as examples/settings/entry.yaml")]
+    NoSettings,
     /// The metrics socket cannot be opened.
     #[error("cannot send metrics: {0}")]
     Metrics(String),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod identity;
 pub mod logs;
 pub mod metrics;
+pub mod process;
 pub mod settings;
 pub mod stop;
 pub mod supervisor;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -2,12 +2,10 @@
 
 mod beat;
 mod directory;
-mod error;
 mod gossip;
 mod known;
 mod leases;
 mod local;
-mod options;
 mod owner;
 mod peers;
 mod settings;
@@ -18,13 +16,12 @@
 use std::time;
 
 use skylark_runtime::admin;
-use skylark_runtime::error as frame;
-use skylark_runtime::logs;
+use skylark_runtime::process;
 use skylark_runtime::stop;
 use skylark_runtime::supervisor;
 use skylark_wire::control;
 
-pub use error::{Error, Result};
+pub use skylark_runtime::error::{Error, Result};
 
 /// Runs the control process that the command line describes.
 ///
@@ -32,16 +29,11 @@
 ///
 /// Fails on wrong settings or when the runtime cannot start.
 pub fn run() -> Result<()> {
-    let options = options::Options::from_args()?;
-    if options.is_check {
-        return Ok(());
-    }
-    logs::init("steer");
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(options.settings.threads)
-        .enable_all()
-        .build()?;
-    runtime.block_on(start(options.settings))
+    process::run(
+        "steer",
+        |settings: &settings::Settings| settings.threads,
+        start,
+    )
 }
 
 async fn start(settings: settings::Settings) -> Result<()> {
@@ -49,7 +41,7 @@
     let address = settings.steer_listen();
     // Bound before this life is named: an earlier life on the host has ended by now.
     let listener = tokio::net::TcpListener::bind(address).await;
-    let listener = listener.map_err(|cause| frame::Error::Bind { address, cause })?;
+    let listener = listener.map_err(|cause| Error::Bind { address, cause })?;
     let listener = sync::Arc::new(sync::Mutex::new(Some(listener)));
     let state = sync::Arc::new(state::State::new(settings)?);
     log::info!(incarnation:% = state.incarnation(), listen:% = address; "started");
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the control process.
 
+use std::num;
 use std::time;
 
 use skylark_core::name;
@@ -42,7 +43,7 @@
     pub statsd: Option<record::Address>,
     /// Worker threads.
     #[serde(default = "default_threads")]
-    pub threads: usize,
+    pub threads: num::NonZeroUsize,
 }
 
 impl Settings {
@@ -63,7 +64,7 @@
 const DEFAULT_POLL_MILLIS: u64 = 500;
 const DEFAULT_HEARTBEAT_MILLIS: u64 = 2_000;
 const DEFAULT_DRAIN_MILLIS: u64 = 40_000;
-const DEFAULT_THREADS: usize = 1;
+const DEFAULT_THREADS: num::NonZeroUsize = num::NonZeroUsize::MIN;
 
 const fn default_poll() -> unit::Span {
     unit::Span::from_millis(DEFAULT_POLL_MILLIS)
@@ -77,6 +78,6 @@
     unit::Span::from_millis(DEFAULT_DRAIN_MILLIS)
 }
 
-const fn default_threads() -> usize {
+const fn default_threads() -> num::NonZeroUsize {
     DEFAULT_THREADS
 }
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -9,12 +9,12 @@
 use skylark_core::record;
 use skylark_core::unit;
 use skylark_runtime::clock;
+use skylark_runtime::error;
 use skylark_runtime::identity;
 use skylark_wire::control;
 use skylark_wire::peer;
 use skylark_wire::platform;
 
-use super::error;
 use super::known;
 use super::owner;
 use super::settings;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -51,3 +51,43 @@
         }
     }
 }
+
+#[test]
+fn no_threads_are_refused_and_not_met_with_a_panic() {
+    for (daemon, program) in DAEMONS {
+        let example = example(daemon);
+        let lines = example.lines().filter(|line| !line.starts_with("threads:"));
+        let text: String = lines
+            .chain(["threads: 0"])
+            .flat_map(|line| [line, "\n"])
+            .collect();
+        let output = check(program, &text);
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{daemon}");
+        assert!(
+            said.contains("threads") && !said.contains("panicked"),
+            "{daemon}: {said}"
+        );
+    }
+}
+
+#[test]
+fn each_daemon_tells_its_version_and_asks_for_settings() {
+    for (daemon, program) in DAEMONS {
+        let mut command = process::Command::new(program);
+        let output = command.arg("--version").output().expect("the daemon runs");
+        let said = String::from_utf8_lossy(&output.stdout);
+        assert_eq!(
+            said,
+            format!("skylark-{daemon} {}\n", env!("CARGO_PKG_VERSION"))
+        );
+        let output = process::Command::new(program)
+            .output()
+            .expect("the daemon runs");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(
+            !output.status.success() && said.contains("settings file"),
+            "{daemon}: {said}"
+        );
+    }
+}
