--- a/tests/path.rs
+++ b/tests/path.rs
@@ -34,11 +34,17 @@
         .expect("an answer");
     assert_eq!(without.status, 401);
     assert_eq!(without.headers[header::OUTCOME], "not-run");
+    let forged = [(header::ACCOUNT, "shop")];
     let open = fleet
-        .call(&fleet.hosts[0], "GET", "/public/tides", &[])
+        .call(&fleet.hosts[0], "GET", "/public/tides", &forged)
         .await
         .expect("an answer");
     assert_eq!(open.status, 200);
+    let said: serde_json::Value = serde_json::from_slice(&open.body).expect("JSON");
+    assert_eq!(
+        said["account"], "",
+        "a caller without a key chose an account"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
