Match routes by whole segments of the path

Cause: a route took every path that began with its own text, so /stock would take /stockholders, and /stock/private took /stock/privateer. Seen failing first: tests/catalog found the keyed route for /stock/privateer.

--- a/crates/core/src/catalog/view.rs
+++ b/crates/core/src/catalog/view.rs
@@ -53,7 +53,7 @@
 }
 
 impl Catalog {
-    /// Finds the route with the longest path prefix that takes the method.
+    /// Finds the route with the longest path, by whole segments, that takes the method.
     #[must_use]
     pub fn route(&self, method: &str, path: &str) -> Option<Place<'_>> {
         let places = self.services.values().flat_map(|service| {
@@ -79,5 +79,11 @@
 }
 
 fn takes(route: &record::Route, method: &str, path: &str) -> bool {
-    path.starts_with(&route.path) && route.methods.iter().any(|known| known == method)
+    covers(&route.path, path) && route.methods.iter().any(|known| known == method)
+}
+
+/// Returns whether a path is a route's, or lies below it by whole segments.
+fn covers(route: &str, path: &str) -> bool {
+    path.strip_prefix(route)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || route.ends_with('/'))
 }
--- a/crates/core/src/record/route.rs
+++ b/crates/core/src/record/route.rs
@@ -7,7 +7,7 @@
 pub struct Route {
     /// HTTP methods of the route.
     pub methods: Vec<String>,
-    /// Prefix of the path; the longest match wins.
+    /// Path with all that lies below it by whole segments; the longest match wins.
     pub path: String,
     /// Who may use the route.
     pub access: Access,
