Let hosts without a slot of the reserve look for one less often

Change: such a host waits 2 s for each known host of its zone. Ruled out: heartbeats and the head, whose reads follow the members alone.

--- a/crates/entry/src/purse/claim.rs
+++ b/crates/entry/src/purse/claim.rs
@@ -11,7 +11,7 @@
 use crate::state;
 
 const STEP: time::Duration = time::Duration::from_millis(200);
-/// Pause after a claim that found no slot.
+/// Pause after a claim that found no slot, for each known entry host of the zone.
 const PAUSE: time::Duration = time::Duration::from_secs(2);
 /// Slots of each availability zone.
 const SLOTS_PER_ZONE: u32 = 5;
@@ -47,7 +47,7 @@
         let plan = plan(&state);
         let step = claim.step(state.clock.now());
         let pause = if step == budget::Step::Read {
-            PAUSE
+            PAUSE.saturating_mul(u32::try_from(peers(&state).max(1)).unwrap_or(u32::MAX))
         } else {
             STEP
         };
