Wait until a frozen process stands still before the test goes on

Cause: tests/once frozen failed 1 of 5 runs beside 24 busy loops, with an order answered 200: the signal had been sent, but a thread of the home still ran. No check was changed. Ruled out: a second start (each key had one start).

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -565,3 +565,26 @@
     command.stdin(process::Stdio::null());
     command.spawn().expect("the program starts")
 }
+
+/// Sends a signal to a child; after `-STOP`, returns once every thread stands still.
+pub fn signal(name: &str, child: &process::Child) {
+    let mut command = process::Command::new("kill");
+    command.arg(name).arg(child.id().to_string());
+    assert!(command.status().expect("kill runs").success());
+    let end = time::Instant::now() + WAIT_LIMIT;
+    while name == "-STOP" && !is_stopped(child.id()) {
+        assert!(time::Instant::now() < end, "the process does not stop");
+        std::thread::sleep(WAIT_STEP);
+    }
+}
+
+fn is_stopped(process: u32) -> bool {
+    let threads = fs::read_dir(format!("/proc/{process}/task")).expect("the process lives");
+    threads.flatten().all(|thread| {
+        let state = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        state
+            .rsplit(')')
+            .next()
+            .is_some_and(|rest| rest.starts_with(" T"))
+    })
+}
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -71,9 +71,7 @@
 }
 
 fn signal(child: &process::Child, name: &str) {
-    let mut command = process::Command::new("kill");
-    command.arg(format!("-{name}")).arg(child.id().to_string());
-    assert!(command.status().expect("kill runs").success());
+    common::signal(&format!("-{name}"), child);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::process;
 use std::time;
 
 use skylark_wire::header;
@@ -13,13 +12,6 @@
 const WAVE_PAUSE: time::Duration = time::Duration::from_millis(40);
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
 
-fn signal(name: &str, child: &process::Child) {
-    let sent = process::Command::new("kill")
-        .args([name, &child.id().to_string()])
-        .status();
-    assert!(sent.expect("kill runs").success());
-}
-
 async fn key(fleet: &common::Fleet, host: usize, unique: &str) -> String {
     let answer = fleet.lookup(&fleet.hosts[host]).await;
     let home = answer["home"].as_str().expect("a home").to_owned();
@@ -101,10 +93,10 @@
 async fn a_frozen_home_that_wakes_late_starts_no_order_twice() {
     let fleet = common::Fleet::start(&common::ZONES[..3]).await;
     let key = key(&fleet, 0, "order-1").await;
-    signal("-STOP", &fleet.hosts[0].entry);
+    common::signal("-STOP", &fleet.hosts[0].entry);
     let one = fleet.order(&fleet.hosts[1], &key, 1).await;
     let two = fleet.order(&fleet.hosts[2], &key, 2).await;
-    signal("-CONT", &fleet.hosts[0].entry);
+    common::signal("-CONT", &fleet.hosts[0].entry);
     for reply in [one, two] {
         assert_eq!(outcome(&reply.expect("an answer")), "unknown");
     }
@@ -121,7 +113,7 @@
     let unseen = key(&fleet, 0, "unseen").await;
     let first = fleet.order(&fleet.hosts[0], &done, 1).await;
     let first = first.expect("an answer");
-    signal("-TERM", &fleet.hosts[0].entry);
+    common::signal("-TERM", &fleet.hosts[0].entry);
     let ended = fleet.hosts[0].entry.wait().expect("the process ends");
     assert!(ended.success());
     let again = fleet.order(&fleet.hosts[1], &done, 2).await;
@@ -265,9 +257,9 @@
     let first = fleet.order(&fleet.hosts[0], &key, 1).await;
     let first = first.expect("an answer");
     tokio::time::sleep(COPY_TIME).await;
-    signal("-STOP", &fleet.hosts[0].entry);
+    common::signal("-STOP", &fleet.hosts[0].entry);
     let again = fleet.order(&fleet.hosts[1], &key, 2).await;
-    signal("-CONT", &fleet.hosts[0].entry);
+    common::signal("-CONT", &fleet.hosts[0].entry);
     let again = again.expect("an answer");
     assert_eq!((again.status, &again.body), (200, &first.body));
     assert_eq!(fleet.starts(&key).await, 1);
--- a/tests/once_faults.rs
+++ b/tests/once_faults.rs
@@ -25,13 +25,6 @@
     answers: collections::BTreeSet<Vec<u8>>,
 }
 
-fn signal(name: &str, child: &process::Child) {
-    let sent = process::Command::new("kill")
-        .args([name, &child.id().to_string()])
-        .status();
-    assert!(sent.expect("kill runs").success());
-}
-
 /// Sends one order, and sends it again through other hosts until it is answered or denied.
 async fn caller(fleet: &common::Fleet, homes: &[String], number: u32, seed: u64) -> Told {
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
@@ -92,10 +85,10 @@
         let faults = serde_json::json!({"down": down, "lose_answers": lose});
         fleet.platform_faults(&faults).await;
         let frozen = &fleet.hosts[random.random_range(0..2)].entry;
-        signal("-STOP", frozen);
+        common::signal("-STOP", frozen);
         let nap = time::Duration::from_millis(random.random_range(50..900));
         tokio::time::sleep(nap).await;
-        signal("-CONT", frozen);
+        common::signal("-CONT", frozen);
     }
 }
 
