--- a/scripts/measure-once.sh
+++ b/scripts/measure-once.sh
@@ -4,25 +4,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-cargo build --release --locked --quiet
-bin=target/release
-work=$(mktemp -d)
-pids=()
+source scripts/processes.sh
 rate=${1:-200}
 seconds=${2:-5}
 
-stop_all() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() {
-  "$@" >>"$work/log" 2>&1 &
-  pids+=($!)
-}
-
 export SKYLARK_PLATFORM=http://127.66.0.1:7000 SKYLARK_LOG=error
 start "$bin/skylark-standin" platform --listen 127.66.0.1:7000
 start "$bin/skylark-standin" targets desk-1=127.66.1.9:9000/64 desk-2=127.66.2.9:9000/64
--- /dev/null
+++ b/scripts/processes.sh
@@ -0,0 +1,20 @@
+# shellcheck shell=bash
+# Builds the programs, runs processes in the background and ends them with the script.
+# Sourced by the other scripts, from the root of the repository.
+
+cargo build --release --locked --quiet
+bin=target/release
+work=$(mktemp -d)
+pids=()
+
+stop_all() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+start() {
+  "$@" >>"$work/log" 2>&1 &
+  pids+=($!)
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -4,22 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-cargo build --release --locked --quiet
-bin=target/release
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() {
-  "$@" >>"$work/log" 2>&1 &
-  pids+=($!)
-}
+source scripts/processes.sh
 
 fail() {
   echo "FAILED: $*" >&2
