--- a/crates/core/src/burn/judgement.rs
+++ b/crates/core/src/burn/judgement.rs
@@ -83,6 +83,7 @@
         | Kind::Quarantined
         | Kind::KeyClosed
         | Kind::KeyReused
+        | Kind::TooLarge
         | Kind::InProgress => Fault::Caller,
         Kind::OverRate => Fault::Rate,
         Kind::StaleKeys
@@ -91,6 +92,6 @@
         | Kind::NoTarget
         | Kind::Leaving
         | Kind::NotReady => Fault::System,
-        Kind::HomeUnreachable | Kind::TargetFailed => Fault::Answer,
+        Kind::HomeUnreachable | Kind::TargetFailed | Kind::TimedOut => Fault::Answer,
     }
 }
--- a/crates/core/src/kind.rs
+++ b/crates/core/src/kind.rs
@@ -59,6 +59,10 @@
     InProgress,
     /// The target failed after the request may have reached it.
     TargetFailed,
+    /// The time was up while a target may have run the request.
+    TimedOut,
+    /// The request's body is over the limit.
+    TooLarge,
     /// The entry host is leaving.
     Leaving,
     /// The entry host has no configuration yet.
@@ -80,7 +84,7 @@
 
 impl ErrorKind {
     /// Every kind, in order of declaration.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::NoRoute,
         Self::BadRequest,
         Self::Unauthorized,
@@ -95,6 +99,8 @@
         Self::HomeUnreachable,
         Self::InProgress,
         Self::TargetFailed,
+        Self::TimedOut,
+        Self::TooLarge,
         Self::Leaving,
         Self::NotReady,
     ];
@@ -124,6 +130,8 @@
             Self::HomeUnreachable => (503, Unknown, Later, "the request's home cannot be asked"),
             Self::InProgress => (409, Unknown, Later, "the request is still running"),
             Self::TargetFailed => (502, Unknown, Later, "the target failed"),
+            Self::TimedOut => (504, Unknown, Later, "the target did not answer in time"),
+            Self::TooLarge => (413, NotRun, Never, "the body is over the limit"),
             Self::Leaving => (503, NotRun, Elsewhere, "this entry host is leaving"),
             Self::NotReady => (503, NotRun, Elsewhere, "this entry host is not ready"),
         };
@@ -153,6 +161,8 @@
             Self::HomeUnreachable => "home-unreachable",
             Self::InProgress => "in-progress",
             Self::TargetFailed => "target-failed",
+            Self::TimedOut => "timed-out",
+            Self::TooLarge => "too-large",
             Self::Leaving => "leaving",
             Self::NotReady => "not-ready",
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod steer;
 pub mod suggest;
 pub mod timestamp;
+pub mod traffic;
 pub mod unit;
--- /dev/null
+++ b/crates/core/src/traffic/ask.rs
@@ -0,0 +1,54 @@
+//! A request that asks for a target.
+
+use std::sync;
+use std::time;
+
+use crate::instant;
+use crate::name;
+
+use super::account;
+use super::hash;
+use super::route;
+
+/// A request that asks for a target.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Its route.
+    pub route: sync::Arc<route::Route>,
+    /// Its client account, none on routes open to all.
+    pub account: Option<sync::Arc<account::Account>>,
+    /// The service that is to run it.
+    pub service: name::Service,
+    /// What it is about.
+    pub object: hash::Object,
+    /// When it arrived.
+    pub arrived: instant::Instant,
+    /// When its caller or its route stops waiting.
+    pub until: instant::Instant,
+    /// Targets that it was sent to or that could not be reached.
+    pub tried: Vec<name::Target>,
+}
+
+impl Ask {
+    /// Returns its rank; 0 is the most urgent.
+    #[must_use]
+    pub fn rank(&self) -> u8 {
+        let of_account = self.account.as_ref().and_then(|account| account.rank);
+        of_account.unwrap_or(self.route.rank)
+    }
+
+    /// Returns the time left to its objective.
+    #[must_use]
+    pub fn slack(&self, now: instant::Instant) -> time::Duration {
+        self.route.objective.saturating_sub(now.since(self.arrived))
+    }
+
+    /// Returns whether a region may serve it.
+    #[must_use]
+    pub fn allows(&self, region: &name::Region) -> bool {
+        let of_account = self.account.as_ref().map(|account| &account.regions);
+        let lists = [Some(&self.route.regions), of_account];
+        let mut limits = lists.into_iter().flatten();
+        limits.all(|regions| regions.is_empty() || regions.contains(region))
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/desk.rs
@@ -0,0 +1,710 @@
+//! Everything that one host knows, and its decisions on requests.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::instant;
+use crate::kind;
+use crate::name;
+use crate::steer;
+
+use super::account;
+use super::ask;
+use super::backlog;
+use super::cold;
+use super::fleet;
+use super::hash;
+use super::layout;
+use super::pace;
+use super::pick;
+use super::plan;
+use super::pool;
+use super::quota;
+use super::repeats;
+use super::report;
+use super::rules;
+use super::seat;
+use super::suspects;
+use super::target;
+use super::turns;
+
+/// Part of its objective for which a request may wait for room; a refusal later than that is late.
+const WAIT_PARTS: u32 = 8;
+/// Requests that wait at one service at most.
+const MOST_WAITING: usize = 64;
+/// Requests of the line that are tried at each chance.
+const TRIED_AT_ONCE: usize = 8;
+/// Targets of the first region that are considered in an object's order.
+const NEAR_CHOICES: usize = 4;
+/// Targets of each further region that are considered.
+const FAR_CHOICES: usize = 2;
+/// Part of a more urgent request's spare time that less urgent ones may fill.
+const YIELDED_PART: f64 = 0.4;
+/// Way to a target and back that is reckoned with before any connection to its zone.
+const FIRST_WAY: time::Duration = time::Duration::from_millis(10);
+/// Time after which objects that came no more are forgotten.
+const OBJECT_TIME: time::Duration = time::Duration::from_secs(10);
+/// Pause of a caller that is refused, in parts of the objective.
+const PAUSE_PART: f64 = 0.5;
+/// Objectives over which refused callers spread their return.
+const SPREAD_PARTS: f64 = 1.0;
+/// Objectives by which a failing target's answers are reckoned to be later.
+const FAILING_PARTS: f64 = 2.0;
+
+/// Who this host is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The host.
+    pub host: name::Host,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// Its region.
+    pub region: name::Region,
+}
+
+/// Limits that all hosts keep together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Second sends for each request to a service.
+    pub repeat_ratio: f64,
+    /// Second sends in each window besides.
+    pub repeat_allowance: f64,
+}
+
+/// Everything that one host knows, and its decisions on requests.
+#[derive(Debug)]
+pub struct Desk<T> {
+    identity: Identity,
+    layout: layout::Layout,
+    limits: Limits,
+    rules: Option<sync::Arc<rules::Rules>>,
+    closed: collections::BTreeMap<name::Zone, ()>,
+    reopened: collections::BTreeMap<name::Zone, instant::Instant>,
+    pools: collections::HashMap<name::Service, pool::Pool>,
+    lines: collections::HashMap<name::Service, backlog::Backlog<T>>,
+    quotas: collections::HashMap<name::Account, quota::Quota>,
+    turns: collections::HashMap<String, turns::Turns>,
+    ways: collections::HashMap<name::Zone, steer::Mean>,
+    fleet: fleet::Fleet,
+    suspects: suspects::Suspects,
+    forgotten: instant::Instant,
+}
+
+impl<T> Desk<T> {
+    /// Creates the knowledge of a host that has heard nothing.
+    #[must_use]
+    pub fn new(identity: Identity, layout: layout::Layout, limits: Limits) -> Self {
+        Self {
+            identity,
+            layout,
+            limits,
+            rules: None,
+            closed: collections::BTreeMap::new(),
+            reopened: collections::BTreeMap::new(),
+            pools: collections::HashMap::new(),
+            lines: collections::HashMap::new(),
+            quotas: collections::HashMap::new(),
+            turns: collections::HashMap::new(),
+            ways: collections::HashMap::new(),
+            fleet: fleet::Fleet::default(),
+            suspects: suspects::Suspects::default(),
+            forgotten: instant::Instant::ORIGIN,
+        }
+    }
+
+    /// Returns the rules in force.
+    #[must_use]
+    pub const fn rules(&self) -> Option<&sync::Arc<rules::Rules>> {
+        self.rules.as_ref()
+    }
+
+    /// Returns the other hosts.
+    #[must_use]
+    pub const fn fleet(&self) -> &fleet::Fleet {
+        &self.fleet
+    }
+
+    /// Returns the zones and regions.
+    #[must_use]
+    pub const fn layout(&self) -> &layout::Layout {
+        &self.layout
+    }
+
+    /// Returns the requests under which targets crashed.
+    pub const fn suspects(&mut self) -> &mut suspects::Suspects {
+        &mut self.suspects
+    }
+
+    /// Changes the limits that all hosts keep together.
+    pub const fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Puts rules in force, unless newer ones are; returns whether they are in force now.
+    pub fn set_rules(&mut self, rules: sync::Arc<rules::Rules>, now: instant::Instant) -> bool {
+        let newest = self.rules.as_ref().map(|rules| rules.version);
+        if newest.is_some_and(|version| version >= rules.version) {
+            return false;
+        }
+        let hosts = self.host_count(now);
+        for (service, terms) in &rules.services {
+            let limits = self.limits;
+            let pool = self.pools.entry(service.clone()).or_insert_with(|| {
+                let budget =
+                    repeats::Repeats::new(limits.repeat_ratio, limits.repeat_allowance, hosts);
+                pool::Pool::new(*terms, budget)
+            });
+            pool.terms = *terms;
+        }
+        self.pools
+            .retain(|service, _pool| rules.services.contains_key(service));
+        self.set_quotas(&rules, now);
+        self.rules = Some(rules);
+        self.refresh(now);
+        true
+    }
+
+    /// Takes in every target that the store lists now.
+    pub fn set_targets(&mut self, targets: &[target::Target], now: instant::Instant) {
+        for (service, pool) in &mut self.pools {
+            let mut kept: Vec<seat::Seat> = std::mem::take(&mut pool.seats);
+            let of_service = targets.iter().filter(|target| target.service == *service);
+            for target in of_service {
+                match kept.iter().position(|seat| seat.target.id == target.id) {
+                    Some(position) => {
+                        let mut seat = kept.swap_remove(position);
+                        if seat.target != *target {
+                            seat.update(target.clone(), now);
+                        }
+                        pool.seats.push(seat);
+                    }
+                    None => pool.seats.push(seat::Seat::new(target.clone(), now)),
+                }
+            }
+            pool.seats.sort_by(|a, b| a.target.id.cmp(&b.target.id));
+        }
+        self.refresh(now);
+    }
+
+    /// Takes in the availability zones whose targets are to get nothing.
+    pub fn set_closed(&mut self, zones: &collections::BTreeSet<name::Zone>, now: instant::Instant) {
+        let before = std::mem::take(&mut self.closed);
+        for zone in before.keys().filter(|zone| !zones.contains(*zone)) {
+            self.reopened.insert(zone.clone(), now);
+            for pool in self.pools.values_mut() {
+                let warmup = pool.terms.warmup;
+                let back = pool.seats.iter_mut().filter(|s| s.target.zone == *zone);
+                back.for_each(|seat| seat.cold.extend(warmup, now));
+            }
+        }
+        self.closed = zones.iter().map(|zone| (zone.clone(), ())).collect();
+        self.refresh(now);
+    }
+
+    /// Takes in another host's report.
+    pub fn hear(&mut self, report: report::Report, now: instant::Instant) -> fleet::News {
+        self.fleet.hear(report, now)
+    }
+
+    /// Returns this host's demand by account and by service, to be reported now.
+    pub fn demand(
+        &mut self,
+        now: instant::Instant,
+    ) -> (Vec<(name::Account, f32)>, Vec<(name::Service, f32)>) {
+        let accounts = self
+            .quotas
+            .iter_mut()
+            .map(|(account, quota)| (account.clone(), narrow(quota.report(now))))
+            .collect();
+        let services = self
+            .pools
+            .iter_mut()
+            .map(|(service, pool)| {
+                pool.reported = pool.demand.rate(now);
+                (service.clone(), narrow(pool.reported))
+            })
+            .collect();
+        (accounts, services)
+    }
+
+    /// Works out shares, plans and rates from what the hosts told; called a few times a second.
+    pub fn refresh(&mut self, now: instant::Instant) {
+        self.fleet.expire(now);
+        let hosts = self.host_count(now);
+        let mut others = self.others(now);
+        let idle = self.fleet_of(hosts, now);
+        for (account, quota) in &mut self.quotas {
+            quota.divide(others.remove(account).unwrap_or(idle), now);
+        }
+        self.set_cold_rates(now);
+        self.set_plans(now);
+        let allowance = self.limits.repeat_allowance;
+        for pool in self.pools.values_mut() {
+            pool.repeats.divide(allowance, hosts);
+        }
+        if now.since(self.forgotten) >= OBJECT_TIME {
+            self.forgotten = now;
+            self.pools.values_mut().for_each(pool::Pool::forget_objects);
+        }
+    }
+
+    /// Chooses the service that runs a request of a route.
+    pub fn choose_service(&mut self, route: &super::Route) -> Option<name::Service> {
+        if let [part] = &route.parts[..] {
+            return Some(part.service.clone());
+        }
+        let turns = match self.turns.get_mut(&route.name) {
+            Some(turns) => turns,
+            None => self.turns.entry(route.name.clone()).or_default(),
+        };
+        let position = turns.next(&route.parts)?;
+        Some(route.parts[position].service.clone())
+    }
+
+    /// Counts a request of an account against its rate.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the pause after which the account has room again.
+    pub fn charge(
+        &mut self,
+        account: &account::Account,
+        now: instant::Instant,
+    ) -> Result<(), time::Duration> {
+        match self.quotas.get_mut(&account.name) {
+            Some(quota) => quota.take(now),
+            None => Ok(()),
+        }
+    }
+
+    /// Takes back the charge of a request that did not run.
+    pub fn refund(&mut self, account: &account::Account) {
+        if let Some(quota) = self.quotas.get_mut(&account.name) {
+            quota.refund();
+        }
+    }
+
+    /// Counts a request that is to be placed for the first time.
+    pub fn arrive(&mut self, ask: &ask::Ask, now: instant::Instant) {
+        if let Some(pool) = self.pools.get_mut(&ask.service) {
+            let work = pool.pace(&ask.route.name).work(0, ask.route.objective);
+            pool.see(ask.object, work, now);
+            pool.repeats.earn();
+        }
+    }
+
+    /// Takes one second send to a service from the budget; returns whether it may be made.
+    pub fn may_repeat(&mut self, service: &name::Service) -> bool {
+        let pool = self.pools.get_mut(service);
+        pool.is_some_and(|pool| pool.repeats.take())
+    }
+
+    /// Decides where a request goes now; a chosen target counts it as sent.
+    pub fn place(&mut self, ask: &ask::Ask, now: instant::Instant) -> pick::Placing {
+        let Some(pool) = self.pools.get(&ask.service) else {
+            return pick::Placing::Refuse(self.refusal(ask, kind::ErrorKind::NoTarget, now));
+        };
+        let order = self.candidates(pool, ask);
+        let found = self.search(pool, ask, &order, now);
+        let Some(choice) = found.choice else {
+            let kind = if found.is_any_usable {
+                kind::ErrorKind::Overloaded
+            } else {
+                kind::ErrorKind::NoTarget
+            };
+            return self.hold(ask, kind, now);
+        };
+        let Some(pool) = self.pools.get_mut(&ask.service) else {
+            return self.hold(ask, kind::ErrorKind::NoTarget, now);
+        };
+        let seat = &mut pool.seats[choice.position];
+        let load = seat.load(now);
+        seat.begin(now);
+        pick::Placing::Send(pick::Pick {
+            service: ask.service.clone(),
+            target: seat.target.id.clone(),
+            address: seat.target.address,
+            zone: seat.target.zone.clone(),
+            order: choice.order,
+            load,
+            expected: choice.expected,
+            at: now,
+        })
+    }
+
+    /// Lets a request wait for room; returns the request that the line's bound pushes out.
+    pub fn wait(
+        &mut self,
+        ask: ask::Ask,
+        until: instant::Instant,
+        item: T,
+    ) -> Option<pick::Woken<T>> {
+        let line = self.lines.entry(ask.service.clone());
+        let line = line.or_insert_with(|| backlog::Backlog::new(MOST_WAITING));
+        let out = line.push(backlog::Waiter { ask, until, item })?;
+        let refusal = self.refusal(&out.ask, kind::ErrorKind::Overloaded, out.until);
+        Some(pick::Woken {
+            ask: out.ask,
+            item: out.item,
+            placing: pick::Placing::Refuse(refusal),
+        })
+    }
+
+    /// Returns whether any request waits.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        self.lines.values().any(|line| !line.is_empty())
+    }
+
+    /// Takes out of the lines who can be placed now, or has waited long enough.
+    pub fn wake(&mut self, now: instant::Instant) -> Vec<pick::Woken<T>> {
+        let mut woken = Vec::new();
+        let services: Vec<name::Service> = self
+            .lines
+            .iter()
+            .filter(|(_service, line)| !line.is_empty())
+            .map(|(service, _line)| service.clone())
+            .collect();
+        for service in services {
+            let waiters = self
+                .lines
+                .get_mut(&service)
+                .map_or_else(Vec::new, backlog::Backlog::drain);
+            let mut tries = TRIED_AT_ONCE;
+            for waiter in waiters {
+                let is_over = now >= waiter.until;
+                let placing = if is_over || tries > 0 {
+                    self.place(&waiter.ask, now)
+                } else {
+                    pick::Placing::Wait(waiter.until)
+                };
+                match placing {
+                    pick::Placing::Wait(_until) if !is_over => {
+                        tries = tries.saturating_sub(1);
+                        let line = self.lines.get_mut(&service);
+                        let _within = line.and_then(|line| line.push(waiter));
+                    }
+                    pick::Placing::Wait(_until) => {
+                        let kind = kind::ErrorKind::Overloaded;
+                        let refusal = self.refusal(&waiter.ask, kind, now);
+                        woken.push(pick::Woken {
+                            ask: waiter.ask,
+                            item: waiter.item,
+                            placing: pick::Placing::Refuse(refusal),
+                        });
+                    }
+                    placing => woken.push(pick::Woken {
+                        ask: waiter.ask,
+                        item: waiter.item,
+                        placing,
+                    }),
+                }
+            }
+        }
+        woken
+    }
+
+    /// Takes in how an attempt ended.
+    pub fn finish(
+        &mut self,
+        ask: &ask::Ask,
+        pick: &pick::Pick,
+        ending: pick::Ending,
+        now: instant::Instant,
+    ) {
+        let way = self.way(&pick.zone);
+        let work = now.since(pick.at).saturating_sub(way);
+        let Some(pool) = self.pools.get_mut(&pick.service) else {
+            return;
+        };
+        let warmup = pool.terms.warmup;
+        let Some(position) = pool.position(&pick.target) else {
+            return;
+        };
+        if matches!(ending, pick::Ending::Answered(_)) && pick.load < slots(&pool.seats[position]) {
+            pool.learn(&ask.route.name, pick.order, work);
+        }
+        pool.seats[position].end(ending, work, warmup, now);
+    }
+
+    /// Adds the time that a connection to an availability zone took.
+    pub fn connected(&mut self, zone: &name::Zone, took: time::Duration) {
+        let micros = u64::from(pace::micros(took));
+        match self.ways.get_mut(zone) {
+            Some(mean) => mean.add(micros),
+            None => self.ways.entry(zone.clone()).or_default().add(micros),
+        }
+    }
+
+    /// Returns the refusal of a request that cannot be served now.
+    #[must_use]
+    pub fn refusal(
+        &self,
+        ask: &ask::Ask,
+        kind: kind::ErrorKind,
+        now: instant::Instant,
+    ) -> pick::Refusal {
+        let spread = hash::Object::new("pause", &now.as_micros().to_le_bytes());
+        let parts = PAUSE_PART + SPREAD_PARTS * spread.fraction(ask.service.as_str());
+        pick::Refusal {
+            kind,
+            pause: ask.route.objective.mul_f64(parts),
+        }
+    }
+
+    fn hold(&self, ask: &ask::Ask, kind: kind::ErrorKind, now: instant::Instant) -> pick::Placing {
+        let until = ask.arrived + ask.route.objective / WAIT_PARTS;
+        let line = self.lines.get(&ask.service);
+        let has_room = line.is_none_or(|line| line.has_room(ask.rank()));
+        if now < until && until < ask.until && has_room {
+            return pick::Placing::Wait(until);
+        }
+        pick::Placing::Refuse(self.refusal(ask, kind, now))
+    }
+
+    fn candidates(&self, pool: &pool::Pool, ask: &ask::Ask) -> Vec<usize> {
+        let mut chosen = Vec::new();
+        let regions = pool.plan.order(&self.identity.region, ask.object);
+        let allowed = regions.into_iter().filter(|region| ask.allows(region));
+        for (n, region) in allowed.enumerate() {
+            let order = pool.order(region, &self.identity.zone, &self.layout, ask.object);
+            let usable = order.into_iter().filter(|position| {
+                let target = &pool.seats[*position].target;
+                target.state == target::State::Ready
+                    && !self.closed.contains_key(&target.zone)
+                    && !ask.tried.contains(&target.id)
+            });
+            let most = if n == 0 { NEAR_CHOICES } else { FAR_CHOICES };
+            chosen.extend(usable.take(most));
+        }
+        chosen
+    }
+
+    fn search(
+        &self,
+        pool: &pool::Pool,
+        ask: &ask::Ask,
+        order: &[usize],
+        now: instant::Instant,
+    ) -> Found {
+        let mut found = Found::default();
+        let mut spare: Option<Choice> = None;
+        let mut last: Option<Choice> = None;
+        let pace = pool.pace(&ask.route.name);
+        let patience = pool.patience.get(&ask.rank()).copied();
+        let left = ask.until.since(now);
+        let slack = ask.slack(now);
+        for (place, position) in order.iter().copied().enumerate() {
+            let seat = &pool.seats[position];
+            let penalty = seat.failing(now) * FAILING_PARTS;
+            let wait = seat.wait(now);
+            let work = pace.work(place, ask.route.objective);
+            let expected = self.way(&seat.target.zone) + wait + work;
+            let choice = Choice {
+                position,
+                order: place,
+                expected,
+            };
+            if seat.is_left_out(now) {
+                if seat.own() == 0 && last.is_none() {
+                    last = Some(choice);
+                }
+                continue;
+            }
+            if seat.cold.is_cold(now) && !seat.cold.clone().has_token(now) {
+                continue;
+            }
+            found.is_any_usable = true;
+            if seat.is_full(now) || expected > left {
+                continue;
+            }
+            let is_polite = patience.is_none_or(|patience| wait <= patience);
+            let reckoned = expected + ask.route.objective.mul_f64(penalty);
+            if is_polite && reckoned <= slack {
+                found.choice = Some(choice);
+                return found;
+            }
+            let is_better = spare.is_none_or(|best| reckoned < best.expected);
+            if seat.has_free_slot(now) && is_better {
+                spare = Some(Choice {
+                    expected: reckoned,
+                    ..choice
+                });
+            }
+        }
+        let lone = last.filter(|_choice| !found.is_any_usable);
+        found.choice = spare.or(lone);
+        found
+    }
+
+    fn way(&self, zone: &name::Zone) -> time::Duration {
+        let mean = self.ways.get(zone).and_then(steer::Mean::last);
+        mean.map_or(FIRST_WAY, |micros| {
+            time::Duration::from_micros(micros.into())
+        })
+    }
+
+    fn host_count(&self, now: instant::Instant) -> u32 {
+        let others = self.fleet.known(now).count();
+        u32::try_from(others).map_or(u32::MAX, |others| others.saturating_add(1))
+    }
+
+    fn fleet_of(&self, hosts: u32, now: instant::Instant) -> quota::Others {
+        let live = u32::try_from(self.fleet.live(now).count()).unwrap_or(u32::MAX);
+        quota::Others {
+            demand: 0.0,
+            hosts: hosts - 1,
+            is_heard: live.saturating_mul(2) >= hosts - 1,
+        }
+    }
+
+    fn others(&self, now: instant::Instant) -> collections::HashMap<name::Account, quota::Others> {
+        let base = self.fleet_of(self.host_count(now), now);
+        let mut all: collections::HashMap<name::Account, quota::Others> =
+            collections::HashMap::new();
+        for (report, silence) in self.fleet.known(now) {
+            if silence >= QUOTA_SILENCE {
+                continue;
+            }
+            for (account, demand) in &report.accounts {
+                let others = all.entry(account.clone()).or_insert(base);
+                others.demand += f64::from(*demand);
+            }
+        }
+        all
+    }
+
+    fn set_quotas(&mut self, rules: &rules::Rules, now: instant::Instant) {
+        let base = self.fleet_of(self.host_count(now), now);
+        let mut before = std::mem::take(&mut self.quotas);
+        let limited = rules.accounts.iter().filter_map(|a| Some((a, a.share?)));
+        for (account, share) in limited {
+            let quota = match before.remove(&account.name) {
+                Some(mut quota) => {
+                    quota.resize(share, base, now);
+                    quota
+                }
+                None => quota::Quota::new(share, base, now),
+            };
+            self.quotas.insert(account.name.clone(), quota);
+        }
+    }
+
+    fn set_cold_rates(&mut self, now: instant::Instant) {
+        let own = &self.identity;
+        let live: Vec<&report::Report> = self.fleet.live(now).collect();
+        let layout = &self.layout;
+        for pool in self.pools.values_mut() {
+            let Some(allowed) = pool.terms.cold_rate else {
+                continue;
+            };
+            let cold = pool.seats.iter_mut().filter(|seat| seat.cold.is_cold(now));
+            for seat in cold {
+                let region = layout.region(&seat.target.zone);
+                let near = live
+                    .iter()
+                    .filter(|r| layout.region(&r.zone) == region)
+                    .map(|r| r.host.as_str());
+                let mut hosts: Vec<&str> = near.collect();
+                if region == Some(&own.region) {
+                    hosts.push(own.host.as_str());
+                }
+                if hosts.is_empty() {
+                    hosts = live.iter().map(|r| r.host.as_str()).collect();
+                    hosts.push(own.host.as_str());
+                }
+                let rate = cold::rate(seat.target.id.as_str(), &hosts, own.host.as_str(), allowed);
+                seat.cold.set_rate(rate, now);
+            }
+        }
+    }
+
+    fn set_plans(&mut self, now: instant::Instant) {
+        let regions: Vec<name::Region> = self.layout.regions().into_iter().cloned().collect();
+        for (service, pool) in &mut self.pools {
+            let mut supply: collections::BTreeMap<name::Region, plan::Supply> = regions
+                .iter()
+                .map(|region| (region.clone(), plan::Supply::default()))
+                .collect();
+            let is_open = |seat: &&seat::Seat| {
+                seat.target.state == target::State::Ready
+                    && !self.closed.contains_key(&seat.target.zone)
+            };
+            for seat in pool.seats.iter().filter(is_open) {
+                let region = self.layout.region(&seat.target.zone);
+                if let Some(supply) = region.and_then(|region| supply.get_mut(region)) {
+                    supply.slots += f64::from(seat.target.slots);
+                }
+            }
+            let own = self.identity.region.clone();
+            let told = self.fleet.live(now).flat_map(|report| {
+                let region = self.layout.region(&report.zone);
+                let of_service = report.services.iter().filter(|(name, _d)| name == service);
+                of_service.map(move |(_name, demand)| (region, f64::from(*demand)))
+            });
+            for (region, demand) in told.chain([(Some(&own), pool.reported)]) {
+                if let Some(supply) = region.and_then(|region| supply.get_mut(region)) {
+                    supply.demand += demand;
+                }
+            }
+            pool.plan.adjust(&own, &supply, now);
+            pool.patience = patience(self.rules.as_deref(), service, pool);
+        }
+    }
+}
+
+/// Silence of a host after which its demand counts no more.
+const QUOTA_SILENCE: time::Duration = time::Duration::from_secs(5);
+
+/// A target that a request could go to.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    position: usize,
+    order: usize,
+    expected: time::Duration,
+}
+
+/// What a search for a target found.
+#[derive(Clone, Copy, Debug, Default)]
+struct Found {
+    choice: Option<Choice>,
+    is_any_usable: bool,
+}
+
+fn slots(seat: &seat::Seat) -> f64 {
+    f64::from(seat.target.slots)
+}
+
+/// Returns the longest wait that requests of each rank may add to.
+///
+/// A less urgent request may fill only a part of the time that the more urgent
+/// ones of the service can spare.
+fn patience(
+    rules: Option<&rules::Rules>,
+    service: &name::Service,
+    pool: &pool::Pool,
+) -> collections::BTreeMap<u8, time::Duration> {
+    let mut spare: collections::BTreeMap<u8, time::Duration> = collections::BTreeMap::new();
+    let routes = rules.into_iter().flat_map(|rules| rules.routes_to(service));
+    for route in routes {
+        let work = pool.pace(&route.name).work(0, route.objective);
+        let left = route.objective.saturating_sub(work);
+        let least = spare.entry(route.rank).or_insert(left);
+        *least = (*least).min(left);
+    }
+    let ranks: Vec<u8> = spare.keys().copied().collect();
+    let limits = ranks.iter().filter_map(|rank| {
+        let urgent = spare.range(..rank).map(|(_rank, left)| *left).min()?;
+        Some((*rank, urgent.mul_f64(YIELDED_PART)))
+    });
+    limits.collect()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "reports need few digits, which keeps them short"
+)]
+const fn narrow(figure: f64) -> f32 {
+    figure as f32
+}
--- /dev/null
+++ b/crates/core/src/traffic/layout.rs
@@ -0,0 +1,42 @@
+//! Availability zones and their regions.
+
+use std::collections;
+
+use crate::name;
+
+/// Which region each availability zone is in.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Layout {
+    zones: collections::BTreeMap<name::Zone, name::Region>,
+}
+
+impl Layout {
+    /// Creates a layout from availability zones with their regions.
+    #[must_use]
+    pub fn new(zones: impl IntoIterator<Item = (name::Zone, name::Region)>) -> Self {
+        Self {
+            zones: zones.into_iter().collect(),
+        }
+    }
+
+    /// Returns the region of an availability zone.
+    #[must_use]
+    pub fn region(&self, zone: &name::Zone) -> Option<&name::Region> {
+        self.zones.get(zone)
+    }
+
+    /// Returns every region once, in order of their names.
+    #[must_use]
+    pub fn regions(&self) -> Vec<&name::Region> {
+        let all: collections::BTreeSet<_> = self.zones.values().collect();
+        all.into_iter().collect()
+    }
+
+    /// Returns the availability zones of a region.
+    #[must_use]
+    pub fn zones<'a>(&'a self, region: &'a name::Region) -> impl Iterator<Item = &'a name::Zone> {
+        let all = self.zones.iter();
+        all.filter(move |(_zone, of)| *of == region)
+            .map(|(zone, _of)| zone)
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/mod.rs
@@ -0,0 +1,57 @@
+//! Steering on one entry host that serves a whole deployment from shared rules.
+//!
+//! Nothing here reads a clock, a socket or a file. A [`Desk`] holds what the
+//! host knows of rules, targets and the other entry hosts, and decides for each
+//! request where it runs, whether it waits, or why it is refused.
+
+mod account;
+mod ask;
+mod backlog;
+mod cold;
+mod desk;
+mod directory;
+mod fleet;
+mod hash;
+mod layout;
+mod meter;
+mod mirror;
+mod pace;
+mod pick;
+mod plan;
+mod pool;
+mod quota;
+mod registry;
+mod repeats;
+mod report;
+mod route;
+mod rules;
+mod seat;
+mod suspects;
+mod target;
+mod terms;
+mod turns;
+
+pub use account::Account;
+pub use ask::Ask;
+pub use backlog::Backlog;
+pub use desk::{Desk, Identity, Limits};
+pub use directory::choose as choose_hosts;
+pub use fleet::{Fleet, News};
+pub use hash::Object;
+pub use layout::Layout;
+pub use meter::Meter;
+pub use mirror::{Mirror, Row};
+pub use pick::{Ending, Load, Pick, Placing, Refusal, Woken};
+pub use plan::{Plan, Supply};
+pub use pool::Pool;
+pub use quota::{Others, Quota};
+pub use registry::Registry;
+pub use repeats::Repeats;
+pub use report::{Phase, Report, Versions};
+pub use route::{Part, Repetition, Route};
+pub use rules::{Matched, Rules};
+pub use seat::Seat;
+pub use suspects::Suspects;
+pub use target::{State, Target};
+pub use terms::{CallerLimits, Terms};
+pub use turns::Turns;
--- /dev/null
+++ b/crates/core/src/traffic/plan.rs
@@ -0,0 +1,139 @@
+//! Which part of a region's requests runs in which region.
+
+use std::collections;
+
+use crate::instant;
+use crate::name;
+
+use super::hash;
+
+/// Part of a region's slots that its own requests fill before some go elsewhere.
+const COMFORT: f64 = 0.55;
+/// Largest change of a part in a second, well below what the deployments allow in two.
+const CHANGE: f64 = 0.05;
+
+/// Slots and demand of one region for a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Supply {
+    /// Slots of the targets that may be used.
+    pub slots: f64,
+    /// Slots that the region's requests keep busy.
+    pub demand: f64,
+}
+
+/// Which part of one region's requests for a service runs in which region.
+///
+/// It answers slots that are spread unevenly over regions while demand is even,
+/// or crowds that move: what a region cannot carry goes to regions with room,
+/// always the same objects to the same region, so that targets there are warm
+/// for them. The parts change in small steps, whatever the inputs do.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    parts: collections::BTreeMap<name::Region, f64>,
+    at: instant::Instant,
+}
+
+impl Plan {
+    /// Returns the parts by region; they add up to 1.
+    #[must_use]
+    pub const fn parts(&self) -> &collections::BTreeMap<name::Region, f64> {
+        &self.parts
+    }
+
+    /// Moves the parts a step toward what supply and demand ask for.
+    pub fn adjust(
+        &mut self,
+        own: &name::Region,
+        supply: &collections::BTreeMap<name::Region, Supply>,
+        now: instant::Instant,
+    ) {
+        let goal = goal(own, supply);
+        let step = CHANGE * now.since(self.at).as_secs_f64();
+        self.at = now;
+        if self.parts.is_empty() {
+            self.parts = goal;
+            return;
+        }
+        let farthest = goal
+            .iter()
+            .map(|(region, part)| (part - self.part(region)).abs())
+            .fold(0.0, f64::max);
+        let scale = if farthest > step {
+            step / farthest
+        } else {
+            1.0
+        };
+        let all: collections::BTreeSet<_> = goal.keys().chain(self.parts.keys()).cloned().collect();
+        let moved = all.into_iter().map(|region| {
+            let wanted = goal.get(&region).copied().unwrap_or(0.0);
+            let part = self.part(&region);
+            (region, part + (wanted - part) * scale)
+        });
+        self.parts = moved.collect();
+    }
+
+    /// Returns the regions for an object: the planned one first, then by the object's own order.
+    #[must_use]
+    pub fn order(&self, own: &name::Region, object: hash::Object) -> Vec<&name::Region> {
+        let mut drawn = object.fraction("region") - self.part(own);
+        let mut first = None;
+        if drawn >= 0.0 {
+            for (region, part) in self.parts.iter().filter(|(region, _part)| *region != own) {
+                drawn -= part;
+                first = first.or_else(|| (drawn < 0.0).then_some(region));
+            }
+        }
+        let mut order: Vec<&name::Region> = self.parts.keys().collect();
+        order.sort_by(|a, b| {
+            let key = |region: &name::Region| (Some(region) != first, region != own);
+            let ranks = || {
+                object
+                    .rank(b.as_str(), 1.0)
+                    .total_cmp(&object.rank(a.as_str(), 1.0))
+            };
+            key(a).cmp(&key(b)).then_with(ranks)
+        });
+        order
+    }
+
+    fn part(&self, region: &name::Region) -> f64 {
+        self.parts.get(region).copied().unwrap_or(0.0)
+    }
+}
+
+fn goal(
+    own: &name::Region,
+    supply: &collections::BTreeMap<name::Region, Supply>,
+) -> collections::BTreeMap<name::Region, f64> {
+    let slots: f64 = supply.values().map(|s| s.slots).sum();
+    let demand: f64 = supply.values().map(|s| s.demand).sum();
+    let level = if slots > 0.0 {
+        (demand / slots).max(COMFORT)
+    } else {
+        COMFORT
+    };
+    let room = |s: &Supply| (s.slots * level - s.demand).max(0.0);
+    let here = supply.get(own).copied().unwrap_or_default();
+    let kept = if here.demand > 0.0 {
+        (here.slots * level / here.demand).min(1.0)
+    } else if here.slots > 0.0 {
+        1.0
+    } else {
+        0.0
+    };
+    let far = supply.iter().filter(|(region, _supply)| *region != own);
+    let spare: f64 = far.clone().map(|(_region, s)| room(s)).sum();
+    let wide: f64 = far.clone().map(|(_region, s)| s.slots).sum();
+    let mut parts: collections::BTreeMap<_, _> = far
+        .map(|(region, s)| {
+            let part = match (spare > 0.0, wide > 0.0) {
+                (true, _) => room(s) / spare,
+                (false, true) => s.slots / wide,
+                (false, false) => 0.0,
+            };
+            (region.clone(), part * (1.0 - kept))
+        })
+        .collect();
+    parts.insert(own.clone(), kept);
+    parts
+}
--- /dev/null
+++ b/crates/core/src/traffic/quota.rs
@@ -0,0 +1,120 @@
+//! One host's part of a client account's rate and burst.
+
+use std::time;
+
+use crate::budget;
+use crate::instant;
+
+use super::meter;
+
+/// Time constant of the measured demand.
+const DEMAND_TIME: time::Duration = time::Duration::from_secs(2);
+/// Part of the whole that is divided evenly, so that new demand is met at every host.
+const EVEN_PART: f64 = 0.25;
+/// Part of the burst that a process has in hand at its start; an earlier life may have spent it.
+const START_PARTS: u64 = 4;
+/// Resolution of a host's part of the whole.
+const PART_UNITS: f64 = 1_000_000.0;
+
+/// One host's part of a client account's rate and burst.
+///
+/// It answers an account whose requests arrive unevenly over the hosts, or that
+/// sends several times its rate. The parts of all hosts follow their reported
+/// demand and add up to the whole. A host divides by its own demand as it last
+/// reported it, so that it takes no more before the others take less.
+#[derive(Debug)]
+pub struct Quota {
+    whole: budget::Part,
+    bucket: budget::Bucket,
+    demand: meter::Meter,
+    reported: f64,
+    part: f64,
+}
+
+/// What a host knows of the demand at the other hosts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Others {
+    /// Requests a second at the other hosts together.
+    pub demand: f64,
+    /// Other hosts.
+    pub hosts: u32,
+    /// Whether most of them are heard.
+    pub is_heard: bool,
+}
+
+impl Quota {
+    /// Creates a part of a whole that no host has demanded yet.
+    #[must_use]
+    pub fn new(whole: budget::Part, others: Others, now: instant::Instant) -> Self {
+        let mut quota = Self {
+            whole,
+            bucket: budget::Bucket::new(budget::Part::ZERO, now),
+            demand: meter::Meter::new(DEMAND_TIME),
+            reported: 0.0,
+            part: 1.0,
+        };
+        quota.divide(others, now);
+        let burst = quota.bucket.part().burst;
+        quota.bucket.put(burst.scaled(1, START_PARTS), burst);
+        quota
+    }
+
+    /// Changes the whole.
+    pub fn resize(&mut self, whole: budget::Part, others: Others, now: instant::Instant) {
+        if self.whole != whole {
+            self.whole = whole;
+            self.divide(others, now);
+        }
+    }
+
+    /// Returns the host's demand in requests a second, to be reported now.
+    pub fn report(&mut self, now: instant::Instant) -> f64 {
+        self.reported = self.demand.rate(now);
+        self.reported
+    }
+
+    /// Works out this host's part from the demand of all hosts.
+    pub fn divide(&mut self, others: Others, now: instant::Instant) {
+        let hosts = f64::from(others.hosts + 1);
+        let total = self.reported + others.demand;
+        let by_demand = if total > 0.0 {
+            self.reported / total
+        } else {
+            1.0 / hosts
+        };
+        let part = EVEN_PART / hosts + (1.0 - EVEN_PART) * by_demand;
+        let is_cut_off = !others.is_heard && others.hosts > 0;
+        self.part = if is_cut_off {
+            part.min(self.part)
+        } else {
+            part
+        };
+        let units = super::pace::whole(self.part * PART_UNITS);
+        let scaled = |amount: budget::Amount| amount.scaled(units, super::pace::whole(PART_UNITS));
+        let burst = scaled(self.whole.burst).max(budget::Amount::TOKEN);
+        self.bucket
+            .resize(budget::Part::new(scaled(self.whole.rate), burst), now);
+    }
+
+    /// Counts a request and takes a token for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time until a token is there when none is.
+    pub fn take(&mut self, now: instant::Instant) -> Result<(), time::Duration> {
+        self.demand.add(1.0, now);
+        self.bucket.refill(self.bucket.part().burst, now);
+        if self.bucket.level() < budget::Amount::TOKEN {
+            let micros = self.bucket.wait(budget::Amount::TOKEN);
+            return Err(time::Duration::from_micros(micros));
+        }
+        self.bucket.take(budget::Amount::TOKEN);
+        Ok(())
+    }
+
+    /// Gives back the token of a request that did not run.
+    pub fn refund(&mut self) {
+        let burst = self.bucket.part().burst;
+        self.bucket.put(budget::Amount::TOKEN, burst);
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/registry.rs
@@ -0,0 +1,124 @@
+//! The targets that the store lists, with those that it lost in an outage.
+
+use std::collections;
+use std::time;
+
+use crate::instant;
+use crate::name;
+
+use super::target;
+
+/// Time after the store's return in which entries that lapsed come back; stated by the platform.
+const RETURN_TIME: time::Duration = time::Duration::from_millis(2_200);
+
+/// Targets whose last start is remembered at most, beside those that are listed.
+const MOST_BIRTHS: usize = 16_384;
+
+/// The targets that the store lists, with those that it lost in an outage.
+///
+/// It answers a store that forgets targets while it cannot be reached: an entry
+/// that is missing right after its return is kept until the target had time to
+/// register again. A target that says it is leaving is never kept.
+#[derive(Debug, Default)]
+pub struct Registry {
+    entries: collections::BTreeMap<name::Target, Entry>,
+    births: collections::HashMap<name::Target, u64>,
+    reachable: Reach,
+}
+
+#[derive(Debug)]
+struct Entry {
+    target: target::Target,
+    gone: bool,
+}
+
+/// Whether the store can be reached, and since when.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Reach {
+    /// It could always be reached.
+    #[default]
+    Always,
+    /// It cannot be reached.
+    Lost,
+    /// It can be reached again since an instant.
+    Since(instant::Instant),
+}
+
+impl Registry {
+    /// Takes in whether the store can be reached; returns whether that is a change.
+    pub fn reach(&mut self, is_reached: bool, now: instant::Instant) -> bool {
+        let before = self.reachable;
+        self.reachable = match (before, is_reached) {
+            (Reach::Lost, true) => Reach::Since(now),
+            (_, true) => before,
+            (_, false) => Reach::Lost,
+        };
+        (before == Reach::Lost) == is_reached
+    }
+
+    /// Adds or changes a target; an entry of an earlier life of its process is left out.
+    pub fn put(&mut self, target: target::Target) -> bool {
+        if self.births.len() >= MOST_BIRTHS {
+            let entries = &self.entries;
+            self.births.retain(|id, _born| entries.contains_key(id));
+        }
+        if let Some(born) = target.born {
+            let newest = self.births.entry(target.id.clone()).or_insert(born);
+            if born < *newest {
+                return false;
+            }
+            *newest = born;
+        }
+        let id = target.id.clone();
+        let entry = Entry {
+            target,
+            gone: false,
+        };
+        self.entries.insert(id, entry);
+        true
+    }
+
+    /// Removes a target that the store lists no more, unless it may have lapsed in an outage.
+    pub fn remove(&mut self, id: &name::Target, now: instant::Instant) {
+        let entry = self.entries.get_mut(id);
+        match entry.filter(|entry| entry.target.state == target::State::Ready) {
+            Some(entry) if !is_settled(self.reachable, now) => entry.gone = true,
+            _ => {
+                self.entries.remove(id);
+            }
+        }
+    }
+
+    /// Removes a target whose entry names no target to use.
+    pub fn reject(&mut self, id: &name::Target) {
+        self.entries.remove(id);
+    }
+
+    /// Removes the entries that did not come back in time; returns them.
+    pub fn expire(&mut self, now: instant::Instant) -> Vec<name::Target> {
+        if !is_settled(self.reachable, now) {
+            return Vec::new();
+        }
+        let gone = self.entries.iter().filter(|(_id, entry)| entry.gone);
+        let ids: Vec<name::Target> = gone.map(|(id, _entry)| id.clone()).collect();
+        for id in &ids {
+            self.entries.remove(id);
+        }
+        ids
+    }
+
+    /// Returns the targets in order of their names.
+    #[must_use]
+    pub fn targets(&self) -> Vec<target::Target> {
+        let entries = self.entries.values();
+        entries.map(|entry| entry.target.clone()).collect()
+    }
+}
+
+fn is_settled(reachable: Reach, now: instant::Instant) -> bool {
+    match reachable {
+        Reach::Always => true,
+        Reach::Lost => false,
+        Reach::Since(at) => now.since(at) >= RETURN_TIME,
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/rules.rs
@@ -0,0 +1,78 @@
+//! Routes, accounts and services in force, under one version.
+
+use std::collections;
+use std::sync;
+
+use crate::name;
+use crate::record;
+use crate::secret;
+
+use super::account;
+use super::route;
+use super::terms;
+
+/// One version of everything that operators decide.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// Version, which only rises.
+    pub version: u64,
+    /// Services by name.
+    pub services: collections::HashMap<name::Service, terms::Terms>,
+    /// Client accounts, empty where callers need no key.
+    pub accounts: Vec<sync::Arc<account::Account>>,
+    /// Routes of each host name, longest prefix first.
+    pub hosts: collections::HashMap<String, Vec<sync::Arc<route::Route>>>,
+    /// What callers may send.
+    pub limits: terms::CallerLimits,
+}
+
+/// What the rules say of one request.
+#[derive(Clone, Debug)]
+pub enum Matched {
+    /// The request may run.
+    Route(sync::Arc<route::Route>, Option<sync::Arc<account::Account>>),
+    /// No route serves the path.
+    NoRoute,
+    /// The key is missing or not valid.
+    NoKey,
+}
+
+impl Rules {
+    /// Adds a route below a host name.
+    pub fn add(&mut self, host: &str, route: route::Route) {
+        let routes = self.hosts.entry(host.to_ascii_lowercase()).or_default();
+        routes.push(sync::Arc::new(route));
+        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+    }
+
+    /// Finds the route and the client account of a request.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str, key: Option<&secret::Secret>) -> Matched {
+        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let routes = self.hosts.get(&name).map_or(&[][..], Vec::as_slice);
+        let Some(route) = routes.iter().find(|r| path.starts_with(&r.prefix)) else {
+            return Matched::NoRoute;
+        };
+        let account = key.and_then(|key| self.account(key));
+        let needs_key = route.access == record::Access::Keyed && !self.accounts.is_empty();
+        if needs_key && account.is_none() {
+            return Matched::NoKey;
+        }
+        Matched::Route(sync::Arc::clone(route), account)
+    }
+
+    /// Returns every route that may send requests to a service.
+    pub fn routes_to<'a>(
+        &'a self,
+        service: &'a name::Service,
+    ) -> impl Iterator<Item = &'a sync::Arc<route::Route>> {
+        let routes = self.hosts.values().flatten();
+        routes.filter(move |route| route.parts.iter().any(|part| part.service == *service))
+    }
+
+    fn account(&self, key: &secret::Secret) -> Option<sync::Arc<account::Account>> {
+        let digest = key.digest();
+        let holder = self.accounts.iter().find(|a| a.keys.contains(&digest));
+        holder.map(sync::Arc::clone)
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/seat.rs
@@ -0,0 +1,201 @@
+//! What a host knows of one target's room and health.
+
+use std::time;
+
+use crate::instant;
+use crate::steer;
+
+use super::cold;
+use super::pace;
+use super::pick;
+use super::target;
+
+/// Time in which another host's load, seen in a report, fades.
+const REPORT_TIME: time::Duration = time::Duration::from_millis(500);
+/// Part of a target's slots that may wait at the target in addition.
+const LINE_PARTS: f64 = 2.0;
+/// Shortest silence of a busy target after which it gets nothing new.
+const SHORTEST_STALL: time::Duration = time::Duration::from_millis(1_000);
+/// Mean times of work after which a busy target that is silent gets nothing new.
+const STALL_TIMES: u32 = 5;
+/// Time of work that is reckoned with before any answer.
+const FIRST_WORK: time::Duration = time::Duration::from_millis(200);
+const WHOLE: f64 = 10_000.0;
+
+/// What a host knows of one target's room and health.
+#[derive(Debug)]
+pub struct Seat {
+    /// The target as it describes itself.
+    pub target: target::Target,
+    /// Its cold start.
+    pub cold: cold::Cold,
+    own: u32,
+    others: f64,
+    reported: instant::Instant,
+    work: steer::Mean,
+    outlier: steer::Outlier,
+    failures: steer::Decay,
+    progress: instant::Instant,
+}
+
+impl Seat {
+    /// Creates a seat of a target that nothing was sent to yet.
+    #[must_use]
+    pub fn new(target: target::Target, now: instant::Instant) -> Self {
+        let mut cold = cold::Cold::new(now);
+        if !target.cold.is_zero() {
+            cold.extend(target.cold, now);
+        }
+        Self {
+            target,
+            cold,
+            own: 0,
+            others: 0.0,
+            reported: now,
+            work: steer::Mean::default(),
+            outlier: steer::Outlier::default(),
+            failures: steer::Decay::default(),
+            progress: now,
+        }
+    }
+
+    /// Takes in what the target says of itself now.
+    pub fn update(&mut self, target: target::Target, now: instant::Instant) {
+        if target.born != self.target.born {
+            self.outlier = steer::Outlier::default();
+            self.others = 0.0;
+        }
+        if !target.cold.is_zero() {
+            self.cold.extend(target.cold, now);
+        }
+        self.target = target;
+    }
+
+    /// Returns the requests of this host that are at the target.
+    #[must_use]
+    pub const fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Returns the requests that are reckoned to be at the target.
+    #[must_use]
+    pub fn load(&self, now: instant::Instant) -> f64 {
+        let age = now.since(self.reported).as_secs_f64();
+        let others = self.others * (-age / REPORT_TIME.as_secs_f64()).exp();
+        f64::from(self.own) + others
+    }
+
+    /// Returns whether the target has a slot for one more request.
+    #[must_use]
+    pub fn has_free_slot(&self, now: instant::Instant) -> bool {
+        self.load(now) + 1.0 <= f64::from(self.target.slots)
+    }
+
+    /// Returns whether the target's line is full.
+    #[must_use]
+    pub fn is_full(&self, now: instant::Instant) -> bool {
+        self.load(now) >= f64::from(self.target.slots) * (1.0 + LINE_PARTS)
+    }
+
+    /// Returns whether the target is left out for its failures or its silence.
+    #[must_use]
+    pub fn is_left_out(&self, now: instant::Instant) -> bool {
+        let stall = (self.mean_work() * STALL_TIMES).max(SHORTEST_STALL);
+        let is_stalled = self.own > 0 && now.since(self.progress) > stall;
+        let is_probed = self.outlier.is_probed(now) && self.own > 0;
+        self.outlier.is_ejected(now) || is_probed || is_stalled
+    }
+
+    /// Returns the part of recent attempts that failed, from 0 to 1.
+    #[must_use]
+    pub fn failing(&self, now: instant::Instant) -> f64 {
+        f64::from(self.failures.level(now)) / WHOLE
+    }
+
+    /// Returns the time that one more request is expected to wait at the target.
+    #[must_use]
+    pub fn wait(&self, now: instant::Instant) -> time::Duration {
+        let slots = f64::from(self.target.slots.max(1));
+        let ahead = (self.load(now) + 1.0 - slots).max(0.0);
+        self.mean_work().mul_f64(ahead / slots)
+    }
+
+    /// Counts a request that is sent.
+    pub fn begin(&mut self, now: instant::Instant) {
+        if self.own == 0 {
+            self.progress = now;
+        }
+        self.own += 1;
+        if self.cold.is_cold(now) {
+            self.cold.take();
+        }
+    }
+
+    /// Takes in how a request ended; `work` is its time without the way.
+    pub fn end(
+        &mut self,
+        ending: pick::Ending,
+        work: time::Duration,
+        warmup: time::Duration,
+        now: instant::Instant,
+    ) {
+        self.own = self.own.saturating_sub(1);
+        match ending {
+            pick::Ending::Answered(load) => {
+                self.progress = now;
+                self.outlier.succeed();
+                self.failures.miss(now);
+                self.work
+                    .add(pace::micros(self.without_line(work, now)).into());
+                self.note(load, now);
+            }
+            pick::Ending::Failed(load) => {
+                self.progress = now;
+                self.failures.hit(now);
+                self.note(load, now);
+            }
+            pick::Ending::NotRun(load) => {
+                self.progress = now;
+                self.failures.hit(now);
+                self.note(load, now);
+            }
+            pick::Ending::Unreached => {
+                self.outlier.fail(now);
+                self.eject(warmup, now);
+            }
+            pick::Ending::Broken => {
+                self.failures.hit(now);
+                if self.outlier.fail(now) {
+                    self.eject(warmup, now);
+                }
+            }
+            pick::Ending::Misdirected | pick::Ending::Silent | pick::Ending::Left => {}
+        }
+    }
+
+    fn eject(&mut self, warmup: time::Duration, now: instant::Instant) {
+        if !self.outlier.is_ejected(now) {
+            self.outlier.eject(now);
+        }
+        if let Some(until) = self.outlier.until(now) {
+            self.cold.extend(until.since(now) + warmup, now);
+        }
+    }
+
+    fn note(&mut self, load: Option<pick::Load>, now: instant::Instant) {
+        if let Some(load) = load {
+            let total = load.running + load.waiting;
+            self.others = f64::from(total.saturating_sub(self.own));
+            self.reported = now;
+        }
+    }
+
+    fn without_line(&self, work: time::Duration, now: instant::Instant) -> time::Duration {
+        let slots = f64::from(self.target.slots.max(1));
+        work.mul_f64(slots / (self.load(now) + 1.0).max(slots))
+    }
+
+    fn mean_work(&self) -> time::Duration {
+        time::Duration::from_micros(self.work.get(pace::micros(FIRST_WORK)).into())
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/suspects.rs
@@ -0,0 +1,85 @@
+//! Requests under which targets crashed.
+
+use std::collections;
+use std::time;
+
+use crate::instant;
+use crate::name;
+
+/// Targets that a request may crash before it is held back.
+const DEATHS: usize = 3;
+/// Time for which a death is remembered.
+const MEMORY: time::Duration = time::Duration::from_secs(60);
+/// Fingerprints that are remembered at most.
+const MOST_PRINTS: usize = 4_096;
+/// Time from a broken connection to the refused one that confirms a crash.
+const CONFIRMED_WITHIN: time::Duration = time::Duration::from_secs(2);
+
+/// Requests under which targets crashed.
+///
+/// It answers a request that crashes whatever runs it and comes again. A broken
+/// connection alone is no crash: only a target that refuses the next connection
+/// counts.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    breaks: Vec<Break>,
+    deaths: collections::HashMap<u64, Vec<(name::Target, instant::Instant)>>,
+}
+
+#[derive(Debug)]
+struct Break {
+    print: u64,
+    target: name::Target,
+    at: instant::Instant,
+}
+
+impl Suspects {
+    /// Notes that a connection broke while a request ran.
+    pub fn broke(&mut self, print: u64, target: &name::Target, now: instant::Instant) {
+        self.breaks
+            .retain(|seen| now.since(seen.at) < CONFIRMED_WITHIN);
+        self.breaks.push(Break {
+            print,
+            target: target.clone(),
+            at: now,
+        });
+    }
+
+    /// Notes that a target refuses connections; returns the deaths that this confirms.
+    pub fn refused(&mut self, target: &name::Target, now: instant::Instant) -> Vec<u64> {
+        let is_confirmed =
+            |seen: &Break| seen.target == *target && now.since(seen.at) < CONFIRMED_WITHIN;
+        let prints: Vec<u64> = self
+            .breaks
+            .iter()
+            .filter(|seen| is_confirmed(seen))
+            .map(|seen| seen.print)
+            .collect();
+        self.breaks.retain(|seen| seen.target != *target);
+        for print in &prints {
+            self.add(*print, target, now);
+        }
+        prints
+    }
+
+    /// Adds a death that this host or another one confirmed; one that is known counts once.
+    pub fn add(&mut self, print: u64, target: &name::Target, now: instant::Instant) {
+        self.deaths
+            .retain(|_print, seen| seen.iter().any(|(_id, at)| now.since(*at) < MEMORY));
+        if self.deaths.len() >= MOST_PRINTS && !self.deaths.contains_key(&print) {
+            return;
+        }
+        let seen = self.deaths.entry(print).or_default();
+        if !seen.iter().any(|(id, _at)| id == target) {
+            seen.push((target.clone(), now));
+        }
+    }
+
+    /// Returns whether a request is held back.
+    #[must_use]
+    pub fn is_held(&self, print: u64, now: instant::Instant) -> bool {
+        let seen = self.deaths.get(&print).map_or(&[][..], Vec::as_slice);
+        let recent = seen.iter().filter(|(_id, at)| now.since(*at) < MEMORY);
+        recent.count() >= DEATHS
+    }
+}
--- /dev/null
+++ b/crates/host/src/connections.rs
@@ -0,0 +1,155 @@
+//! Connections to targets, kept for a while after each exchange.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use skylark_core::instant;
+use skylark_core::name;
+
+use super::body;
+
+/// Time for which an idle connection is kept where the target states none.
+const KEPT: time::Duration = time::Duration::from_secs(8);
+/// Margin before the target's own time limit on idle connections.
+const MARGIN: time::Duration = time::Duration::from_millis(1_500);
+/// Idle time after which a request that must not run twice gets a new connection.
+const FRESH: time::Duration = time::Duration::from_millis(1_500);
+/// Idle connections to one target that are kept at most.
+const MOST_IDLE: usize = 16;
+/// Silence of a connection before it is probed, and between probes.
+const SILENCE: time::Duration = time::Duration::from_secs(1);
+/// Unanswered probes after which a connection counts as lost.
+const PROBES: u32 = 2;
+/// Largest head that a target may send, in bytes.
+const HEAD_BYTES: usize = 64 * 1_024;
+
+/// A connection to a target.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: http1::SendRequest<body::Passing>,
+    driver: tokio::task::JoinHandle<()>,
+    used: bool,
+}
+
+impl Connection {
+    /// Returns whether an exchange was made on the connection before.
+    pub(crate) const fn is_used(&self) -> bool {
+        self.used
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: instant::Instant,
+    keep: time::Duration,
+}
+
+/// Idle connections by target.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    idle: sync::Mutex<collections::HashMap<name::Target, Vec<Idle>>>,
+}
+
+impl Connections {
+    /// Creates an empty set.
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an idle connection to a target; the one used last is taken first.
+    pub(crate) fn take(
+        &self,
+        target: &name::Target,
+        is_idempotent: bool,
+        now: instant::Instant,
+    ) -> Option<Connection> {
+        let mut all = self.lock();
+        let idle = all.get_mut(target)?;
+        idle.retain(|idle| now.since(idle.since) < idle.keep && idle.connection.sender.is_ready());
+        let is_fresh = |idle: &Idle| is_idempotent || now.since(idle.since) < FRESH;
+        let found = idle
+            .pop_if(|idle| is_fresh(idle))
+            .map(|idle| idle.connection);
+        if idle.is_empty() {
+            all.remove(target);
+        }
+        found
+    }
+
+    /// Keeps a connection after a whole exchange; `keep` is the target's own limit.
+    pub(crate) fn put(
+        &self,
+        target: &name::Target,
+        mut connection: Connection,
+        keep: Option<time::Duration>,
+        now: instant::Instant,
+    ) {
+        connection.used = true;
+        let keep = keep.map_or(KEPT, |keep| keep.saturating_sub(MARGIN).min(KEPT));
+        let mut all = self.lock();
+        let idle = all.entry(target.clone()).or_default();
+        if idle.len() < MOST_IDLE && !keep.is_zero() {
+            idle.push(Idle {
+                connection,
+                since: now,
+                keep,
+            });
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(crate) fn expire(&self, now: instant::Instant) {
+        let mut all = self.lock();
+        for idle in all.values_mut() {
+            idle.retain(|idle| now.since(idle.since) < idle.keep);
+        }
+        all.retain(|_target, idle| !idle.is_empty());
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<name::Target, Vec<Idle>>> {
+        self.idle
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// Fails when the target does not take the connection.
+pub(crate) async fn open(address: net::SocketAddr) -> std::io::Result<Connection> {
+    let stream = tokio::net::TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(SILENCE)
+        .with_interval(SILENCE)
+        .with_retries(PROBES);
+    socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(HEAD_BYTES)
+        .handshake(rt::TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    let driver = tokio::spawn(async move {
+        if let Err(fault) = connection.await {
+            log::debug!(address:% = address, error:% = fault; "connection to target ended");
+        }
+    });
+    Ok(Connection {
+        sender,
+        driver,
+        used: false,
+    })
+}
--- /dev/null
+++ b/crates/host/src/follow.rs
@@ -0,0 +1,131 @@
+//! Follows the store's tables, and makes this host known there.
+
+use std::sync;
+use std::time;
+
+use skylark_core::traffic;
+use skylark_platform::store;
+
+use super::error;
+use super::state;
+
+/// Tables whose changes every host follows.
+pub(crate) const FOLLOWED: [store::Table; 2] = [store::Table::Orders, store::Table::Targets];
+/// Pause after a failed call; doubled with each one in a row.
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// Longest pause between failed calls, well inside the time in which changes must be in force.
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(800);
+/// Pause between the changes of one table, in which several are taken at once.
+const GATHER: time::Duration = time::Duration::from_millis(60);
+
+/// Follows one table until the task is dropped.
+pub(crate) async fn run(table: store::Table, state: sync::Arc<state::State>) -> error::Result<()> {
+    let mut pause = FIRST_PAUSE;
+    let mut is_whole = false;
+    loop {
+        let address = state.settings().store;
+        let after = state.knowledge().mirror(table).version();
+        let answer = if is_whole && after > 0 {
+            state.store.follow(address, table, after).await
+        } else {
+            state.store.read(address, table).await
+        };
+        let now = state.clock.now();
+        match answer {
+            Ok(rows) => {
+                take(&state, table, rows, is_whole && after > 0);
+                is_whole = true;
+                pause = FIRST_PAUSE;
+                tokio::time::sleep(GATHER).await;
+            }
+            Err(fault) => {
+                let is_compacted = matches!(fault, skylark_platform::Error::Compacted);
+                log::warn!(table = table.as_str(), after, error:% = fault; "store call failed");
+                if is_compacted {
+                    is_whole = false;
+                    continue;
+                }
+                state.knowledge().reach(table, false, now);
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Takes in changes, or a whole table.
+fn take(state: &state::State, table: store::Table, rows: store::Rows, is_change: bool) {
+    let now = state.clock.now();
+    let mut known = state.knowledge();
+    known.reach(table, true, now);
+    let is_news = if is_change {
+        known.change(table, rows, now)
+    } else {
+        known.replace(table, rows, now)
+    };
+    if is_news {
+        state.news.notify_one();
+        state.line.notify_one();
+    }
+}
+
+/// Writes this host's row, and learns the other hosts' addresses.
+pub(crate) async fn join(state: sync::Arc<state::State>) -> error::Result<()> {
+    let table = store::Table::Hosts;
+    let own = state.report(state.clock.now());
+    let row = bincode::serialize(&Row {
+        control: own.control,
+    })?;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let address = state.settings().store;
+        match exchange(&state, address, &own, &row).await {
+            Ok(()) => break,
+            Err(fault) => {
+                log::warn!(table = table.as_str(), error:% = fault; "store call failed");
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+    // The row stands; a task that ended would be started again.
+    std::future::pending().await
+}
+
+/// Address under which a host is found by others that start later.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct Row {
+    control: std::net::SocketAddr,
+}
+
+async fn exchange(
+    state: &state::State,
+    address: std::net::SocketAddr,
+    own: &traffic::Report,
+    row: &[u8],
+) -> skylark_platform::Result<()> {
+    let table = store::Table::Hosts;
+    let listed = state.store.read(address, table).await?;
+    let mut is_known = false;
+    for other in listed.rows {
+        let Some(value) = other.value else { continue };
+        if other.key == own.host.as_str() {
+            is_known = value == row;
+            continue;
+        }
+        match bincode::deserialize::<Row>(&value) {
+            Ok(row) => state.peers.add(row.control),
+            Err(fault) => {
+                log::warn!(host = other.key.as_str(), error:% = fault; "row of a host refused");
+            }
+        }
+    }
+    if !is_known {
+        state
+            .store
+            .write(address, table, own.host.as_str(), row)
+            .await?;
+    }
+    state.news.notify_one();
+    Ok(())
+}
--- /dev/null
+++ b/crates/host/src/knowledge.rs
@@ -0,0 +1,213 @@
+//! What the host knows from the store and from other hosts, decoded and in force.
+
+use std::collections;
+use std::sync;
+
+use skylark_core::instant;
+use skylark_core::name;
+use skylark_core::traffic;
+use skylark_platform::rules;
+use skylark_platform::store;
+use skylark_platform::target;
+
+use super::waiting;
+
+/// What the host knows from the store and from other hosts.
+#[derive(Debug)]
+pub(crate) struct Knowledge {
+    desk: traffic::Desk<waiting::Waker>,
+    orders: traffic::Mirror,
+    targets: traffic::Mirror,
+    registry: traffic::Registry,
+    lost: collections::HashSet<store::Table>,
+    was_whole: bool,
+}
+
+impl Knowledge {
+    /// Creates the knowledge of a host that has heard nothing.
+    pub(crate) fn new(desk: traffic::Desk<waiting::Waker>) -> Self {
+        Self {
+            desk,
+            orders: traffic::Mirror::default(),
+            targets: traffic::Mirror::default(),
+            registry: traffic::Registry::default(),
+            lost: collections::HashSet::new(),
+            was_whole: false,
+        }
+    }
+
+    /// Returns the decisions.
+    pub(crate) const fn desk(&self) -> &traffic::Desk<waiting::Waker> {
+        &self.desk
+    }
+
+    /// Returns the decisions, to change what they know.
+    pub(crate) const fn desk_mut(&mut self) -> &mut traffic::Desk<waiting::Waker> {
+        &mut self.desk
+    }
+
+    /// Returns the copy of a table.
+    pub(crate) const fn mirror(&self, table: store::Table) -> &traffic::Mirror {
+        match table {
+            store::Table::Targets => &self.targets,
+            store::Table::Orders | store::Table::Hosts => &self.orders,
+        }
+    }
+
+    /// Returns how new the copies are.
+    pub(crate) const fn versions(&self) -> traffic::Versions {
+        traffic::Versions {
+            orders: self.orders.version(),
+            targets: self.targets.version(),
+        }
+    }
+
+    /// Returns whether rules and targets are known; at first also that no other host knows newer ones.
+    pub(crate) fn is_whole(&mut self, now: instant::Instant) -> bool {
+        if self.desk.rules().is_none() || self.targets.version() == 0 {
+            return false;
+        }
+        let own = self.orders.version();
+        let mut others = self.desk.fleet().live(now);
+        self.was_whole = self.was_whole || others.all(|r| r.versions.orders <= own);
+        self.was_whole
+    }
+
+    /// Notes whether a table of the store can be read.
+    pub(crate) fn reach(&mut self, table: store::Table, is_reached: bool, now: instant::Instant) {
+        let changed = if is_reached {
+            self.lost.remove(&table)
+        } else {
+            self.lost.insert(table)
+        };
+        if table == store::Table::Targets {
+            self.registry.reach(is_reached, now);
+        }
+        match (changed, is_reached) {
+            (true, true) => log::info!(table = table.as_str(); "store regained"),
+            (true, false) => log::warn!(table = table.as_str(); "store lost"),
+            _ => {}
+        }
+    }
+
+    /// Takes in changes of a table; returns whether there was any news.
+    pub(crate) fn change(
+        &mut self,
+        table: store::Table,
+        rows: store::Rows,
+        now: instant::Instant,
+    ) -> bool {
+        let news = match table {
+            store::Table::Orders => self.orders.change(rows.rows, rows.version),
+            store::Table::Targets => self.targets.change(rows.rows, rows.version),
+            store::Table::Hosts => Vec::new(),
+        };
+        self.take(table, &news, now)
+    }
+
+    /// Takes in a whole copy of a table; returns whether there was any news.
+    pub(crate) fn replace(
+        &mut self,
+        table: store::Table,
+        rows: store::Rows,
+        now: instant::Instant,
+    ) -> bool {
+        let news = match table {
+            store::Table::Orders => self.orders.replace(rows.rows, rows.version),
+            store::Table::Targets => self.targets.replace(rows.rows, rows.version),
+            store::Table::Hosts => Vec::new(),
+        };
+        self.take(table, &news, now)
+    }
+
+    /// Drops targets that did not come back after an outage of the store.
+    pub(crate) fn expire(&mut self, now: instant::Instant) {
+        let gone = self.registry.expire(now);
+        if gone.is_empty() {
+            return;
+        }
+        for id in &gone {
+            log::info!(target_id:% = id; "target did not come back after the store's outage");
+        }
+        self.desk.set_targets(&self.registry.targets(), now);
+    }
+
+    fn take(&mut self, table: store::Table, news: &[traffic::Row], now: instant::Instant) -> bool {
+        if news.is_empty() {
+            return false;
+        }
+        match table {
+            store::Table::Orders => self.take_orders(news, now),
+            store::Table::Targets => self.take_targets(news, now),
+            store::Table::Hosts => {}
+        }
+        true
+    }
+
+    fn take_orders(&mut self, news: &[traffic::Row], now: instant::Instant) {
+        for row in news.iter().filter(|row| row.key == rules::CONFIG_KEY) {
+            let Some(bytes) = &row.value else { continue };
+            match rules::read(bytes) {
+                Ok(rules) => {
+                    let version = rules.version;
+                    let is_new = self.desk.set_rules(sync::Arc::new(rules), now);
+                    log::info!(version, row = row.version, in_force = is_new; "rules read");
+                }
+                Err(fault) => {
+                    log::error!(row = row.version, error:% = fault; "rules refused; the last ones stay in force");
+                }
+            }
+        }
+        let mut closed = collections::BTreeSet::new();
+        for row in self.orders.rows() {
+            match rules::read_evacuation(&row.key) {
+                Ok(Some(zone)) => {
+                    closed.insert(zone);
+                }
+                Ok(None) => {}
+                Err(fault) => log::error!(row = row.version, error:% = fault; "order refused"),
+            }
+        }
+        log::info!(version = self.orders.version(), zones:? = closed; "zones without new requests");
+        self.desk.set_closed(&closed, now);
+        self.desk.set_targets(&self.registry.targets(), now);
+    }
+
+    fn take_targets(&mut self, news: &[traffic::Row], now: instant::Instant) {
+        for row in news {
+            match &row.value {
+                Some(bytes) => self.put_target(row, bytes),
+                None => self.remove_target(row, now),
+            }
+        }
+        self.desk.set_targets(&self.registry.targets(), now);
+    }
+
+    fn put_target(&mut self, row: &traffic::Row, bytes: &[u8]) {
+        match target::read(&row.key, bytes) {
+            Ok(target) => {
+                log::info!(
+                    target_id:% = target.id, row = row.version, service:% = target.service,
+                    zone:% = target.zone, state:? = target.state, cold:? = target.cold;
+                    "target changed"
+                );
+                if !self.registry.put(target) {
+                    log::warn!(target_id = row.key.as_str(), row = row.version; "entry of an earlier life left out");
+                }
+            }
+            Err(fault) => {
+                log::warn!(target_id = row.key.as_str(), row = row.version, error:% = fault; "entry refused");
+                if let Ok(id) = name::Target::new(&row.key) {
+                    self.registry.reject(&id);
+                }
+            }
+        }
+    }
+
+    fn remove_target(&mut self, row: &traffic::Row, now: instant::Instant) {
+        log::info!(target_id = row.key.as_str(), row = row.version; "target no longer listed");
+        if let Ok(id) = name::Target::new(&row.key) {
+            self.registry.remove(&id, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,139 @@
+//! Entry, look-up and control of one host in one process, on the users' platform.
+
+mod answer;
+mod body;
+mod callers;
+mod connections;
+mod error;
+mod exchange;
+mod follow;
+mod knowledge;
+mod lookups;
+mod peers;
+mod pipeline;
+mod readiness;
+mod reports;
+mod serve;
+mod settings;
+mod state;
+mod waiting;
+
+use std::io::Write as _;
+use std::sync;
+
+use skylark_runtime::logs;
+use skylark_runtime::supervisor;
+
+pub use error::{Error, Result};
+
+/// Runs the host process that the environment's settings file describes.
+///
+/// # Errors
+///
+/// Fails on wrong settings or an address that cannot be bound.
+pub fn run() -> Result<()> {
+    let flags = xflags::parse_or_exit! {
+        /// Check the settings and exit
+        optional --check
+        /// Print the version and exit
+        optional --version
+    };
+    if flags.version {
+        writeln!(
+            std::io::stdout(),
+            "skylark-host {}",
+            env!("CARGO_PKG_VERSION")
+        )?;
+        return Ok(());
+    }
+    let path = skylark_platform::settings::path()?;
+    let settings = skylark_platform::settings::load(&path)?;
+    if flags.check {
+        return Ok(());
+    }
+    logs::init_bounded("host")?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(start(path, settings))
+}
+
+async fn start(
+    path: std::path::PathBuf,
+    settings: skylark_platform::settings::Settings,
+) -> Result<()> {
+    let stop = skylark_runtime::stop::Stop::with_signals()?;
+    let state = sync::Arc::new(state::State::new(path, settings)?);
+    let sockets = serve::Sockets::bind(&state).await?;
+    log::info!(host:% = state.identity.host, life = state.life, zone:% = state.identity.zone; "started");
+    let finished = skylark_runtime::stop::Stop::new();
+    let mut tree = supervisor::Supervisor::new(finished.clone());
+    supervise(&mut tree, &state, sockets);
+    let tasks = tokio::spawn(tree.run());
+    stop.asked().await;
+    callers::leave(&state).await;
+    finished.ask();
+    if let Err(fault) = tasks.await {
+        log::error!(error:% = fault; "a task panicked during the stop");
+    }
+    log::info!(host:% = state.identity.host; "stopped");
+    logs::flush();
+    Ok(())
+}
+
+fn supervise(
+    tree: &mut supervisor::Supervisor,
+    state: &sync::Arc<state::State>,
+    sockets: serve::Sockets,
+) {
+    let serve::Sockets {
+        callers,
+        readiness,
+        lookups,
+        control,
+        reports,
+    } = sockets;
+    let shared = sync::Arc::clone(state);
+    tree.spawn("callers", move || {
+        callers::serve(sync::Arc::clone(&callers), sync::Arc::clone(&shared))
+    });
+    let shared = sync::Arc::clone(state);
+    tree.spawn("readiness", move || {
+        readiness::serve(sync::Arc::clone(&readiness), sync::Arc::clone(&shared))
+    });
+    let shared = sync::Arc::clone(state);
+    tree.spawn("lookups", move || {
+        lookups::serve(sync::Arc::clone(&lookups), sync::Arc::clone(&shared))
+    });
+    let shared = sync::Arc::clone(state);
+    tree.spawn("peers", move || {
+        peers::serve(sync::Arc::clone(&control), sync::Arc::clone(&shared))
+    });
+    let socket = sync::Arc::clone(&reports);
+    let shared = sync::Arc::clone(state);
+    tree.spawn("hear reports", move || {
+        reports::hear(sync::Arc::clone(&socket), sync::Arc::clone(&shared))
+    });
+    let shared = sync::Arc::clone(state);
+    tree.spawn("tell reports", move || {
+        reports::tell(sync::Arc::clone(&reports), sync::Arc::clone(&shared))
+    });
+    for table in follow::FOLLOWED {
+        let shared = sync::Arc::clone(state);
+        tree.spawn("store", move || {
+            follow::run(table, sync::Arc::clone(&shared))
+        });
+    }
+    let shared = sync::Arc::clone(state);
+    tree.spawn("hosts", move || follow::join(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
+    tree.spawn("catch up", move || {
+        peers::catch_up(sync::Arc::clone(&shared))
+    });
+    let shared = sync::Arc::clone(state);
+    tree.spawn("line", move || waiting::run(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
+    tree.spawn("settings", move || {
+        settings::watch(sync::Arc::clone(&shared))
+    });
+}
--- /dev/null
+++ b/crates/host/src/readiness.rs
@@ -0,0 +1,29 @@
+//! Tells the platform whether callers may be sent here.
+
+use std::sync;
+
+use skylark_core::traffic;
+use skylark_platform::header;
+
+use super::error;
+use super::serve;
+use super::state;
+
+/// Answers the platform's questions until the task is dropped.
+pub(crate) async fn serve(
+    listener: sync::Arc<tokio::net::TcpListener>,
+    state: sync::Arc<state::State>,
+) -> error::Result<()> {
+    serve::answer(listener, "readiness", move |request| {
+        let state = sync::Arc::clone(&state);
+        async move {
+            let status = match (request.uri().path(), state.phase()) {
+                (header::READINESS_PATH, traffic::Phase::Ready) => hyper::StatusCode::OK,
+                (header::READINESS_PATH, _) => hyper::StatusCode::SERVICE_UNAVAILABLE,
+                _ => hyper::StatusCode::NOT_FOUND,
+            };
+            serve::reply(status, "text/plain", Vec::new())
+        }
+    })
+    .await
+}
--- /dev/null
+++ b/crates/host/src/serve.rs
@@ -0,0 +1,91 @@
+//! Listening sockets, and HTTP answers that need no target.
+
+use std::convert;
+use std::future;
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use hyper_util::rt;
+
+use super::error;
+use super::state;
+
+/// Listening sockets of the process, bound once for all lives of their tasks.
+#[derive(Debug)]
+pub(crate) struct Sockets {
+    pub(crate) callers: sync::Arc<tokio::net::TcpListener>,
+    pub(crate) readiness: sync::Arc<tokio::net::TcpListener>,
+    pub(crate) lookups: sync::Arc<tokio::net::TcpListener>,
+    pub(crate) control: sync::Arc<tokio::net::TcpListener>,
+    pub(crate) reports: sync::Arc<tokio::net::UdpSocket>,
+}
+
+impl Sockets {
+    /// Binds every address of the settings.
+    pub(crate) async fn bind(state: &state::State) -> error::Result<Self> {
+        let settings = state.settings();
+        let reports = net::SocketAddr::new(settings.control.ip(), settings.report_port);
+        let socket = tokio::net::UdpSocket::bind(reports).await;
+        Ok(Self {
+            callers: listen(settings.callers).await?,
+            readiness: listen(settings.readiness).await?,
+            lookups: listen(settings.lookups).await?,
+            control: listen(settings.control).await?,
+            reports: sync::Arc::new(socket.map_err(|cause| error::Error::Bind {
+                address: reports,
+                cause,
+            })?),
+        })
+    }
+}
+
+async fn listen(address: net::SocketAddr) -> error::Result<sync::Arc<tokio::net::TcpListener>> {
+    let listener = tokio::net::TcpListener::bind(address).await;
+    let listener = listener.map_err(|cause| error::Error::Bind { address, cause })?;
+    Ok(sync::Arc::new(listener))
+}
+
+/// An answer of which all bytes are known.
+pub(crate) type Reply = hyper::Response<http_body_util::Full<Bytes>>;
+
+/// Answers requests on a listener until the task is dropped.
+pub(crate) async fn answer<F, R>(
+    listener: sync::Arc<tokio::net::TcpListener>,
+    name: &'static str,
+    handle: F,
+) -> error::Result<()>
+where
+    F: Fn(hyper::Request<hyper::body::Incoming>) -> R + Clone + Send + 'static,
+    R: future::Future<Output = Reply> + Send + 'static,
+{
+    loop {
+        let (stream, _peer) = listener.accept().await?;
+        if let Err(fault) = stream.set_nodelay(true) {
+            log::debug!(listener = name, error:% = fault; "connection without TCP_NODELAY");
+        }
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let service = hyper::service::service_fn(move |request| {
+                let reply = handle(request);
+                async move { Ok::<_, convert::Infallible>(reply.await) }
+            });
+            let http = hyper::server::conn::http1::Builder::new();
+            let connection = http.serve_connection(rt::TokioIo::new(stream), service);
+            if let Err(fault) = connection.await {
+                log::debug!(listener = name, error:% = fault; "connection ended early");
+            }
+        });
+    }
+}
+
+/// Creates an answer with a status and a body.
+pub(crate) fn reply(status: hyper::StatusCode, media: &'static str, body: Vec<u8>) -> Reply {
+    let mut reply = hyper::Response::new(http_body_util::Full::new(Bytes::from(body)));
+    *reply.status_mut() = status;
+    let media = hyper::header::HeaderValue::from_static(media);
+    reply
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, media);
+    reply
+}
--- /dev/null
+++ b/crates/host/src/settings.rs
@@ -0,0 +1,34 @@
+//! Reads the settings file again when it changes.
+
+use std::sync;
+use std::time;
+
+use tokio::signal::unix;
+
+use super::error;
+use super::state;
+
+/// Time between two looks at the file, which may change without a signal.
+const LOOK: time::Duration = time::Duration::from_secs(2);
+
+/// Follows the settings file until the task is dropped.
+pub(crate) async fn watch(state: sync::Arc<state::State>) -> error::Result<()> {
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    loop {
+        let is_signal = tokio::select! {
+            _signal = hangup.recv() => true,
+            () = tokio::time::sleep(LOOK) => false,
+        };
+        match skylark_platform::settings::load(&state.path) {
+            Ok(settings) => {
+                let differs = state.set_settings(settings);
+                if differs || is_signal {
+                    log::info!(differs, is_signal; "settings read");
+                }
+            }
+            Err(fault) => {
+                log::error!(error:% = fault; "settings refused; the last ones stay in force");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/waiting.rs
@@ -0,0 +1,50 @@
+//! Requests that wait for room at a service.
+
+use std::sync;
+use std::time;
+
+use skylark_core::traffic;
+
+use super::error;
+use super::state;
+
+/// Time between two looks at the requests that wait.
+const LOOK: time::Duration = time::Duration::from_millis(5);
+
+/// Tells a waiting request what becomes of it.
+pub(crate) type Waker = tokio::sync::oneshot::Sender<traffic::Placing>;
+
+/// Looks after the requests that wait, until the task is dropped.
+pub(crate) async fn run(state: sync::Arc<state::State>) -> error::Result<()> {
+    loop {
+        state.line.notified().await;
+        while state.knowledge().desk().has_waiting() {
+            tokio::time::sleep(LOOK).await;
+            wake(&state);
+        }
+    }
+}
+
+/// Lets go of the requests that can be placed now, or have waited long enough.
+pub(crate) fn wake(state: &state::State) {
+    let now = state.clock.now();
+    let mut known = state.knowledge();
+    if !known.desk().has_waiting() {
+        return;
+    }
+    let woken = known.desk_mut().wake(now);
+    woken
+        .into_iter()
+        .for_each(|woken| tell(known.desk_mut(), woken, now));
+}
+
+/// Tells a request what becomes of it; a target that it can no longer use is free again.
+pub(crate) fn tell(
+    desk: &mut traffic::Desk<Waker>,
+    woken: traffic::Woken<Waker>,
+    now: skylark_core::instant::Instant,
+) {
+    if let Err(traffic::Placing::Send(pick)) = woken.item.send(woken.placing) {
+        desk.finish(&woken.ask, &pick, traffic::Ending::Left, now);
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod metrics;
 pub mod process;
 pub mod settings;
+mod sink;
 pub mod stop;
 pub mod supervisor;
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -1,6 +1,75 @@
 //! Logs of one line an event with `key=value` fields.
 
+use std::fmt;
+use std::fmt::Write as _;
+use std::io;
 use std::io::Write as _;
+use std::sync;
+
+use super::sink;
+
+static SINK: sync::OnceLock<sync::Arc<sink::Sink>> = sync::OnceLock::new();
+
+/// Starts logging to standard output without ever waiting for its reader.
+///
+/// Lines beyond what the sink holds are dropped, ordinary ones first, and counted.
+///
+/// # Errors
+///
+/// Fails when the thread that writes the lines cannot be started.
+pub fn init_bounded(process: &'static str) -> io::Result<()> {
+    let sink = SINK.get_or_init(sync::Arc::default);
+    sink::start(sync::Arc::clone(sink))?;
+    let filter = env_logger::Env::new().filter_or("SKYLARK_LOG", "info");
+    let mut builder = env_logger::Builder::from_env(filter);
+    builder.target(env_logger::Target::Pipe(Box::new(io::sink())));
+    builder.format(move |_out, record| {
+        let line = line(process, record).map_err(io::Error::other)?;
+        sink.push(record.level(), line.as_bytes());
+        Ok(())
+    });
+    builder.init();
+    Ok(())
+}
+
+/// Writes the lines that are held, before the process ends.
+pub fn flush() {
+    if let Some(sink) = SINK.get() {
+        sink.write_held();
+    }
+}
+
+fn line(process: &str, record: &log::Record<'_>) -> Result<String, fmt::Error> {
+    let at = humantime::format_rfc3339_millis(std::time::SystemTime::now());
+    let mut line = format!("at={at} level={} process={process}", record.level());
+    write!(line, " event={:?}", record.args().to_string())?;
+    let mut fields = Line(&mut line);
+    if let Err(fault) = record.key_values().visit(&mut fields) {
+        write!(line, " fields_lost={:?}", fault.to_string())?;
+    }
+    line.push('\n');
+    Ok(line)
+}
+
+/// Adds each field of a record as `key=value`, quoted where the value has spaces.
+struct Line<'a>(&'a mut String);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Line<'_> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        let text = value.to_string();
+        let is_plain = !text.is_empty() && !text.contains([' ', '"', '=', '\n']);
+        if is_plain {
+            write!(self.0, " {key}={text}")?;
+        } else {
+            write!(self.0, " {key}={text:?}")?;
+        }
+        Ok(())
+    }
+}
 
 /// Starts logging to standard error at the level that `SKYLARK_LOG` names, else `info`.
 pub fn init(process: &'static str) {
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -7,6 +7,13 @@
 use hyper_util::client::legacy;
 use hyper_util::rt;
 
+/// Time that a connection may take to open.
+const CONNECT_TIME: time::Duration = time::Duration::from_secs(1);
+/// Silence of a connection before it is probed, and between probes.
+const SILENCE: time::Duration = time::Duration::from_secs(1);
+/// Unanswered probes after which a connection counts as lost.
+const PROBES: u32 = 2;
+
 /// Result of an HTTP exchange.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -48,7 +55,13 @@
     /// Creates a client whose exchanges end after `limit`.
     #[must_use]
     pub fn new(limit: time::Duration) -> Self {
-        let inner = legacy::Client::builder(rt::TokioExecutor::new()).build_http();
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(limit.min(CONNECT_TIME)));
+        connector.set_keepalive(Some(SILENCE));
+        connector.set_keepalive_interval(Some(SILENCE));
+        connector.set_keepalive_retries(Some(PROBES));
+        let inner = legacy::Client::builder(rt::TokioExecutor::new()).build(connector);
         Self { inner, limit }
     }
 
