Keep objects at their own targets in overload

Ruled out: slow processes (0.005 cores), wrong shares of accounts (10 of 35,000). Change: the pace is learned under load too, other targets take late work only while half of their slots are free, first guesses differ by place.

--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -45,6 +45,8 @@
 const FIRST_WAY: time::Duration = time::Duration::from_millis(10);
 /// Time after which objects that came no more are forgotten.
 const OBJECT_TIME: time::Duration = time::Duration::from_secs(10);
+/// Part of a target's slots up to which it takes requests of other targets' objects that come late.
+const SPARE_PART: f64 = 0.5;
 /// Pause of a caller that is refused, in parts of the objective.
 const PAUSE_PART: f64 = 0.5;
 /// Objectives over which refused callers spread their return.
@@ -422,7 +424,8 @@
         let Some(position) = pool.position(&pick.target) else {
             return;
         };
-        if matches!(ending, pick::Ending::Answered(_)) && pick.load < slots(&pool.seats[position]) {
+        let work = pool.seats[position].without_line(work, pick.load);
+        if matches!(ending, pick::Ending::Answered(_)) {
             pool.learn(&ask.route.name, pick.order, work);
         }
         pool.seats[position].end(ending, work, warmup, now);
@@ -526,7 +529,8 @@
                 return found;
             }
             let is_better = spare.is_none_or(|best| reckoned < best.expected);
-            if seat.has_free_slot(now) && is_better {
+            let busy = if place == 0 { 1.0 } else { SPARE_PART };
+            if seat.has_free_part(busy, now) && is_better {
                 spare = Some(Choice {
                     expected: reckoned,
                     ..choice
@@ -672,10 +676,6 @@
     is_any_usable: bool,
 }
 
-fn slots(seat: &seat::Seat) -> f64 {
-    f64::from(seat.target.slots)
-}
-
 /// Returns the longest wait that requests of each rank may add to.
 ///
 /// A less urgent request may fill only a part of the time that the more urgent
--- a/crates/core/src/traffic/pace.rs
+++ b/crates/core/src/traffic/pace.rs
@@ -6,8 +6,8 @@
 
 /// Places in an object's order that are told apart: its own target, the next one, all others.
 const ORDERS: usize = 3;
-/// Part of the objective that is reckoned with before any answer.
-const FIRST_PART: f64 = 0.9;
+/// Parts of the objective that are reckoned with before any answer, by place.
+const FIRST_PARTS: [f64; ORDERS] = [0.4, 0.6, 0.95];
 
 /// Times that requests of one route take, by the target's place in the object's order.
 #[derive(Clone, Copy, Debug, Default)]
@@ -24,8 +24,9 @@
     /// Returns the time that a request is expected to take.
     #[must_use]
     pub fn work(&self, order: usize, objective: time::Duration) -> time::Duration {
-        let first = micros(objective.mul_f64(FIRST_PART));
-        let mean = self.means[order.min(ORDERS - 1)].get(first);
+        let order = order.min(ORDERS - 1);
+        let first = micros(objective.mul_f64(FIRST_PARTS[order]));
+        let mean = self.means[order].get(first);
         time::Duration::from_micros(mean.into())
     }
 }
--- a/crates/core/src/traffic/seat.rs
+++ b/crates/core/src/traffic/seat.rs
@@ -85,10 +85,10 @@
         f64::from(self.own) + others
     }
 
-    /// Returns whether the target has a slot for one more request.
+    /// Returns whether one more request fits in a part of the target's slots.
     #[must_use]
-    pub fn has_free_slot(&self, now: instant::Instant) -> bool {
-        self.load(now) + 1.0 <= f64::from(self.target.slots)
+    pub fn has_free_part(&self, part: f64, now: instant::Instant) -> bool {
+        self.load(now) + 1.0 <= f64::from(self.target.slots) * part
     }
 
     /// Returns whether the target's line is full.
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Takes in how a request ended; `work` is its time without the way.
+    /// Takes in how a request ended; `work` is its time without the way and the line.
     pub fn end(
         &mut self,
         ending: pick::Ending,
@@ -145,8 +145,7 @@
                 self.progress = now;
                 self.outlier.succeed();
                 self.failures.miss(now);
-                self.work
-                    .add(pace::micros(self.without_line(work, now)).into());
+                self.work.add(pace::micros(work).into());
                 self.note(load, now);
             }
             pick::Ending::Failed(load) => {
@@ -190,9 +189,11 @@
         }
     }
 
-    fn without_line(&self, work: time::Duration, now: instant::Instant) -> time::Duration {
+    /// Returns the part of a request's time that it ran, when `load` others were there before it.
+    #[must_use]
+    pub fn without_line(&self, time: time::Duration, load: f64) -> time::Duration {
         let slots = f64::from(self.target.slots.max(1));
-        work.mul_f64(slots / (self.load(now) + 1.0).max(slots))
+        time.mul_f64(slots / (load + 1.0).max(slots))
     }
 
     fn mean_work(&self) -> time::Duration {
