Reckon with the warmth that a host has seen

Cause: one mean time a route mixes warm and cold runs, so that requests for warm objects were refused as late while targets warmed up. Change: each target's last objects are remembered by the sending host; times are learned by warmth: known, likely, none.

--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -290,7 +290,9 @@
     /// Counts a request that is to be placed for the first time.
     pub fn arrive(&mut self, ask: &ask::Ask, now: instant::Instant) {
         if let Some(pool) = self.pools.get_mut(&ask.service) {
-            let work = pool.pace(&ask.route.name).work(0, ask.route.objective);
+            let work = pool
+                .pace(&ask.route.name)
+                .work(pace::Warmth::Known, ask.route.objective);
             pool.see(ask.object, work, now);
             pool.repeats.earn();
         }
@@ -329,6 +331,7 @@
             address: seat.target.address,
             zone: seat.target.zone.clone(),
             order: choice.order,
+            warmth: choice.warmth,
             load,
             expected: choice.expected,
             at: now,
@@ -426,7 +429,8 @@
         };
         let work = pool.seats[position].without_line(work, pick.load);
         if matches!(ending, pick::Ending::Answered(_)) {
-            pool.learn(&ask.route.name, pick.order, work);
+            pool.learn(&ask.route.name, pick.warmth, work);
+            pool.seats[position].handled(ask.object);
         }
         pool.seats[position].end(ending, work, warmup, now);
     }
@@ -502,11 +506,13 @@
             let seat = &pool.seats[position];
             let penalty = seat.failing(now) * FAILING_PARTS;
             let wait = seat.wait(now);
-            let work = pace.work(place, ask.route.objective);
+            let warmth = seat.warmth(ask.object, place == 0);
+            let work = pace.work(warmth, ask.route.objective);
             let expected = self.way(&seat.target.zone) + wait + work;
             let choice = Choice {
                 position,
                 order: place,
+                warmth,
                 expected,
             };
             if seat.is_left_out(now) {
@@ -666,6 +672,7 @@
 struct Choice {
     position: usize,
     order: usize,
+    warmth: pace::Warmth,
     expected: time::Duration,
 }
 
@@ -688,7 +695,9 @@
     let mut spare: collections::BTreeMap<u8, time::Duration> = collections::BTreeMap::new();
     let routes = rules.into_iter().flat_map(|rules| rules.routes_to(service));
     for route in routes {
-        let work = pool.pace(&route.name).work(0, route.objective);
+        let work = pool
+            .pace(&route.name)
+            .work(pace::Warmth::Known, route.objective);
         let left = route.objective.saturating_sub(work);
         let least = spare.entry(route.rank).or_insert(left);
         *least = (*least).min(left);
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -41,6 +41,7 @@
 pub use layout::Layout;
 pub use meter::Meter;
 pub use mirror::{Mirror, Row};
+pub use pace::Warmth;
 pub use pick::{Ending, Load, Pick, Placing, Refusal, Woken};
 pub use plan::{Plan, Supply};
 pub use pool::Pool;
--- a/crates/core/src/traffic/pace.rs
+++ b/crates/core/src/traffic/pace.rs
@@ -2,32 +2,64 @@
 
 use std::time;
 
-use crate::steer;
+/// What a host knows of a target's warmth for an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Warmth {
+    /// The target answered this host for the object lately.
+    Known,
+    /// It is the object's own target, so that other hosts may have sent it there.
+    Likely,
+    /// Neither.
+    None,
+}
+
+impl Warmth {
+    const ALL: usize = 3;
+
+    const fn position(self) -> usize {
+        match self {
+            Self::Known => 0,
+            Self::Likely => 1,
+            Self::None => 2,
+        }
+    }
+}
 
-/// Places in an object's order that are told apart: its own target, the next one, all others.
-const ORDERS: usize = 3;
-/// Parts of the objective that are reckoned with before any answer, by place.
-const FIRST_PARTS: [f64; ORDERS] = [0.4, 0.6, 0.95];
+/// Parts of the objective that are reckoned with before any answer, by warmth.
+const FIRST_PARTS: [f64; Warmth::ALL] = [0.35, 0.5, 0.9];
 
-/// Times that requests of one route take, by the target's place in the object's order.
+/// Part by which a shorter sample moves the mean; targets warm up faster than they forget.
+const FASTER: u32 = 3;
+/// Part by which a longer sample moves the mean.
+const SLOWER: u32 = 12;
+
+/// Times that requests of one route take, by the target's warmth.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
-    means: [steer::Mean; ORDERS],
+    means: [Option<time::Duration>; Warmth::ALL],
 }
 
 impl Pace {
     /// Adds the time of a request without the way and the wait.
-    pub fn add(&mut self, order: usize, work: time::Duration) {
-        self.means[order.min(ORDERS - 1)].add(micros(work).into());
+    pub fn add(&mut self, warmth: Warmth, work: time::Duration) {
+        let mean = &mut self.means[warmth.position()];
+        *mean = Some(mean.map_or(work, |mean| learn(mean, work)));
     }
 
     /// Returns the time that a request is expected to take.
     #[must_use]
-    pub fn work(&self, order: usize, objective: time::Duration) -> time::Duration {
-        let order = order.min(ORDERS - 1);
-        let first = micros(objective.mul_f64(FIRST_PARTS[order]));
-        let mean = self.means[order].get(first);
-        time::Duration::from_micros(mean.into())
+    pub fn work(&self, warmth: Warmth, objective: time::Duration) -> time::Duration {
+        let position = warmth.position();
+        self.means[position].unwrap_or_else(|| objective.mul_f64(FIRST_PARTS[position]))
+    }
+}
+
+/// Moves a mean toward a sample, faster where the sample is shorter.
+fn learn(mean: time::Duration, sample: time::Duration) -> time::Duration {
+    if sample < mean {
+        mean - (mean - sample) / FASTER
+    } else {
+        mean + (sample - mean) / SLOWER
     }
 }
 
--- a/crates/core/src/traffic/pick.rs
+++ b/crates/core/src/traffic/pick.rs
@@ -8,6 +8,7 @@
 use crate::name;
 
 use super::ask;
+use super::pace;
 
 /// A target's report of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +34,8 @@
     pub zone: name::Zone,
     /// Place of the target in the object's order, 0 for its own.
     pub order: usize,
+    /// What is known of its warmth for the object.
+    pub warmth: pace::Warmth,
     /// Requests that were reckoned to be at the target before this one.
     pub load: f64,
     /// Time to the answer that was reckoned with.
--- a/crates/core/src/traffic/pool.rs
+++ b/crates/core/src/traffic/pool.rs
@@ -76,14 +76,14 @@
     }
 
     /// Adds the time that a request of a route took.
-    pub fn learn(&mut self, route: &str, order: usize, work: std::time::Duration) {
+    pub fn learn(&mut self, route: &str, warmth: pace::Warmth, work: std::time::Duration) {
         match self.paces.get_mut(route) {
-            Some(pace) => pace.add(order, work),
+            Some(pace) => pace.add(warmth, work),
             None => self
                 .paces
                 .entry(route.to_owned())
                 .or_default()
-                .add(order, work),
+                .add(warmth, work),
         }
     }
 
--- a/crates/core/src/traffic/seat.rs
+++ b/crates/core/src/traffic/seat.rs
@@ -1,11 +1,13 @@
 //! What a host knows of one target's room and health.
 
+use std::collections;
 use std::time;
 
 use crate::instant;
 use crate::steer;
 
 use super::cold;
+use super::hash;
 use super::pace;
 use super::pick;
 use super::target;
@@ -20,6 +22,8 @@
 const STALL_TIMES: u32 = 5;
 /// Time of work that is reckoned with before any answer.
 const FIRST_WORK: time::Duration = time::Duration::from_millis(200);
+/// Objects that a target is reckoned to keep warm of those that this host sent.
+const KEPT_OBJECTS: usize = 24;
 const WHOLE: f64 = 10_000.0;
 
 /// What a host knows of one target's room and health.
@@ -36,6 +40,7 @@
     outlier: steer::Outlier,
     failures: steer::Decay,
     progress: instant::Instant,
+    objects: collections::VecDeque<hash::Object>,
 }
 
 impl Seat {
@@ -56,6 +61,7 @@
             outlier: steer::Outlier::default(),
             failures: steer::Decay::default(),
             progress: now,
+            objects: collections::VecDeque::new(),
         }
     }
 
@@ -64,6 +70,7 @@
         if target.born != self.target.born {
             self.outlier = steer::Outlier::default();
             self.others = 0.0;
+            self.objects.clear();
         }
         if !target.cold.is_zero() {
             self.cold.extend(target.cold, now);
@@ -189,6 +196,27 @@
         }
     }
 
+    /// Returns what is known of the target's warmth for an object.
+    #[must_use]
+    pub fn warmth(&self, object: hash::Object, is_own: bool) -> pace::Warmth {
+        if self.objects.contains(&object) {
+            pace::Warmth::Known
+        } else if is_own {
+            pace::Warmth::Likely
+        } else {
+            pace::Warmth::None
+        }
+    }
+
+    /// Notes that the target handled an object.
+    pub fn handled(&mut self, object: hash::Object) {
+        self.objects.retain(|known| *known != object);
+        self.objects.push_back(object);
+        if self.objects.len() > KEPT_OBJECTS {
+            self.objects.pop_front();
+        }
+    }
+
     /// Returns the part of a request's time that it ran, when `load` others were there before it.
     #[must_use]
     pub fn without_line(&self, time: time::Duration, load: f64) -> time::Duration {
