Trust load reports for longer

Cause: hosts see a target's load about once a second, and the load of the others faded in half a second, so that full targets looked free.

--- a/crates/core/src/traffic/seat.rs
+++ b/crates/core/src/traffic/seat.rs
@@ -13,7 +13,7 @@
 use super::target;
 
 /// Time in which another host's load, seen in a report, fades.
-const REPORT_TIME: time::Duration = time::Duration::from_millis(500);
+const REPORT_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Part of a target's slots that may wait at the target in addition.
 const LINE_PARTS: f64 = 2.0;
 /// Shortest silence of a busy target after which it gets nothing new.
