Reckon with the usual load where reports are old

Cause: a target that this host has not heard of for seconds counted as empty. Change: an old report counts less, the mean of the service's other targets more.

--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -244,6 +244,7 @@
         let allowance = self.limits.repeat_allowance;
         for pool in self.pools.values_mut() {
             pool.repeats.divide(allowance, hosts);
+            pool.compare(now);
         }
         if now.since(self.forgotten) >= OBJECT_TIME {
             self.forgotten = now;
--- a/crates/core/src/traffic/pool.rs
+++ b/crates/core/src/traffic/pool.rs
@@ -98,6 +98,17 @@
         }
     }
 
+    /// Works out the load that is reckoned with at targets whose reports are old.
+    pub fn compare(&mut self, now: instant::Instant) {
+        let reports = || self.seats.iter().map(|seat| seat.reported(now));
+        let trust: f64 = reports().map(|(_load, trust)| trust).sum();
+        let load: f64 = reports().map(|(load, trust)| load * trust).sum();
+        let typical = if trust > 0.0 { load / trust } else { 0.0 };
+        self.seats
+            .iter_mut()
+            .for_each(|seat| seat.set_typical(typical));
+    }
+
     /// Forgets objects that did not come since the last call.
     pub fn forget_objects(&mut self) {
         self.objects = std::mem::take(&mut self.recent);
--- a/crates/core/src/traffic/seat.rs
+++ b/crates/core/src/traffic/seat.rs
@@ -35,6 +35,7 @@
     pub cold: cold::Cold,
     own: u32,
     others: f64,
+    typical: f64,
     reported: instant::Instant,
     work: steer::Mean,
     outlier: steer::Outlier,
@@ -56,6 +57,7 @@
             cold,
             own: 0,
             others: 0.0,
+            typical: 0.0,
             reported: now,
             work: steer::Mean::default(),
             outlier: steer::Outlier::default(),
@@ -88,8 +90,21 @@
     #[must_use]
     pub fn load(&self, now: instant::Instant) -> f64 {
         let age = now.since(self.reported).as_secs_f64();
-        let others = self.others * (-age / REPORT_TIME.as_secs_f64()).exp();
-        f64::from(self.own) + others
+        let trust = (-age / REPORT_TIME.as_secs_f64()).exp();
+        f64::from(self.own) + self.others * trust + self.typical * (1.0 - trust)
+    }
+
+    /// Returns the other hosts' load per slot as last reported, with the part of it that is still trusted.
+    #[must_use]
+    pub fn reported(&self, now: instant::Instant) -> (f64, f64) {
+        let age = now.since(self.reported).as_secs_f64();
+        let trust = (-age / REPORT_TIME.as_secs_f64()).exp();
+        (self.others / f64::from(self.target.slots.max(1)), trust)
+    }
+
+    /// Sets the other hosts' load per slot that is reckoned with where reports are old.
+    pub fn set_typical(&mut self, per_slot: f64) {
+        self.typical = per_slot * f64::from(self.target.slots);
     }
 
     /// Returns whether one more request fits in a part of the target's slots.
