Tell each other the requests at targets

Change: reports hold this host's requests by target, four reports a second; the sum counts until a target's own, newer word. Bytes grow with the square of the hosts: to be relayed within zones before the grown sites.

--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -230,6 +230,32 @@
         (accounts, services)
     }
 
+    /// Returns this host's requests at targets, to be reported now.
+    #[must_use]
+    pub fn loads(&self) -> Vec<(u32, u16)> {
+        let seats = self.pools.values().flat_map(|pool| &pool.seats);
+        let busy = seats.filter(|seat| seat.own() > 0);
+        busy.map(|seat| {
+            let own = u16::try_from(seat.own()).unwrap_or(u16::MAX);
+            (hash::digest(seat.target.id.as_str()), own)
+        })
+        .collect()
+    }
+
+    fn take_loads(&mut self, now: instant::Instant) {
+        let mut loads: collections::HashMap<u32, f64> = collections::HashMap::new();
+        for report in self.fleet.live(now) {
+            for (target, requests) in &report.loads {
+                *loads.entry(*target).or_default() += f64::from(*requests);
+            }
+        }
+        let seats = self.pools.values_mut().flat_map(|pool| &mut pool.seats);
+        for seat in seats {
+            let digest = hash::digest(seat.target.id.as_str());
+            seat.set_told(loads.get(&digest).copied().unwrap_or(0.0), now);
+        }
+    }
+
     /// Works out shares, plans and rates from what the hosts told; called a few times a second.
     pub fn refresh(&mut self, now: instant::Instant) {
         self.fleet.expire(now);
@@ -239,6 +265,7 @@
         for (account, quota) in &mut self.quotas {
             quota.divide(others.remove(account).unwrap_or(idle), now);
         }
+        self.take_loads(now);
         self.set_cold_rates(now);
         self.set_plans(now);
         let allowance = self.limits.repeat_allowance;
--- a/crates/core/src/traffic/hash.rs
+++ b/crates/core/src/traffic/hash.rs
@@ -34,6 +34,12 @@
     }
 }
 
+/// Returns a short digest of a name, for messages between hosts.
+#[must_use]
+pub fn digest(name: &str) -> u32 {
+    u32::try_from(mix(fnv(name.as_bytes())) >> u32::BITS).unwrap_or(u32::MAX)
+}
+
 fn fraction(hash: u64) -> f64 {
     f64::from(u32::try_from(hash >> u32::BITS).unwrap_or(u32::MAX)) / MAX_U32
 }
--- a/crates/core/src/traffic/report.rs
+++ b/crates/core/src/traffic/report.rs
@@ -48,4 +48,6 @@
     pub accounts: Vec<(name::Account, f32)>,
     /// Slots that its callers' requests keep busy, by service.
     pub services: Vec<(name::Service, f32)>,
+    /// Requests of this host at targets, by the targets' digests.
+    pub loads: Vec<(u32, u16)>,
 }
--- a/crates/core/src/traffic/seat.rs
+++ b/crates/core/src/traffic/seat.rs
@@ -36,6 +36,7 @@
     own: u32,
     others: f64,
     typical: f64,
+    told: Option<(f64, instant::Instant)>,
     reported: instant::Instant,
     work: steer::Mean,
     outlier: steer::Outlier,
@@ -58,6 +59,7 @@
             own: 0,
             others: 0.0,
             typical: 0.0,
+            told: None,
             reported: now,
             work: steer::Mean::default(),
             outlier: steer::Outlier::default(),
@@ -89,6 +91,11 @@
     /// Returns the requests that are reckoned to be at the target.
     #[must_use]
     pub fn load(&self, now: instant::Instant) -> f64 {
+        if let Some((told, at)) = self.told
+            && at >= self.reported
+        {
+            return f64::from(self.own) + told;
+        }
         let age = now.since(self.reported).as_secs_f64();
         let trust = (-age / REPORT_TIME.as_secs_f64()).exp();
         f64::from(self.own) + self.others * trust + self.typical * (1.0 - trust)
@@ -102,6 +109,11 @@
         (self.others / f64::from(self.target.slots.max(1)), trust)
     }
 
+    /// Takes in the other hosts' requests at the target, as they told them.
+    pub const fn set_told(&mut self, requests: f64, now: instant::Instant) {
+        self.told = Some((requests, now));
+    }
+
     /// Sets the other hosts' load per slot that is reckoned with where reports are old.
     pub fn set_typical(&mut self, per_slot: f64) {
         self.typical = per_slot * f64::from(self.target.slots);
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -12,7 +12,7 @@
 /// Time between two looks at shares and plans.
 const REFRESH: time::Duration = time::Duration::from_millis(250);
 /// Refreshes between two reports.
-const REPORT_EVERY: u32 = 2;
+const REPORT_EVERY: u32 = 1;
 /// Shortest time between two reports, when there is news.
 const SHORTEST_GAP: time::Duration = time::Duration::from_millis(30);
 /// Refreshes for which another host must know more before it is asked.
@@ -57,6 +57,7 @@
     let now = state.clock.now();
     let mut report = state.report(now);
     (report.accounts, report.services) = state.knowledge().desk_mut().demand(now);
+    report.loads = state.knowledge().desk().loads();
     let bytes = bincode::serialize(&report)?;
     let port = state.settings().report_port;
     for control in state.peers.due(now) {
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -133,6 +133,7 @@
             versions: self.knowledge().versions(),
             accounts: Vec::new(),
             services: Vec::new(),
+            loads: Vec::new(),
         }
     }
 }
