Trust other hosts' word that a target is gone

Ruled out: late news (0.7 s after the store's acknowledgement). Change: entries are kept only where the source itself was cut off; request lines are the first that the log drops, and a full pipe keeps what it did not take.

--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -79,10 +79,12 @@
     }
 
     /// Removes a target that the store lists no more, unless it may have lapsed in an outage.
-    pub fn remove(&mut self, id: &name::Target, now: instant::Instant) {
+    ///
+    /// A host that was not cut off from the store knows that for certain.
+    pub fn remove(&mut self, id: &name::Target, is_certain: bool, now: instant::Instant) {
         let entry = self.entries.get_mut(id);
         match entry.filter(|entry| entry.target.state == target::State::Ready) {
-            Some(entry) if !is_settled(self.reachable, now) => entry.gone = true,
+            Some(entry) if !is_certain && !is_settled(self.reachable, now) => entry.gone = true,
             _ => {
                 self.entries.remove(id);
             }
@@ -107,6 +109,12 @@
         ids
     }
 
+    /// Returns whether entries that are missing are gone for certain.
+    #[must_use]
+    pub fn is_settled(&self, now: instant::Instant) -> bool {
+        is_settled(self.reachable, now)
+    }
+
     /// Returns the targets in order of their names.
     #[must_use]
     pub fn targets(&self) -> Vec<target::Target> {
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -7,6 +7,7 @@
 use skylark_platform::store;
 
 use super::error;
+use super::knowledge;
 use super::state;
 
 /// Tables whose changes every host follows.
@@ -61,7 +62,7 @@
     let is_news = if is_change {
         known.change(table, rows, now)
     } else {
-        known.replace(table, rows, now)
+        known.replace(table, rows, knowledge::Source::Store, now)
     };
     if is_news {
         state.news.notify_one();
--- a/crates/host/src/knowledge.rs
+++ b/crates/host/src/knowledge.rs
@@ -12,6 +12,17 @@
 
 use super::waiting;
 
+/// Where news comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The store itself.
+    Store,
+    /// A host that was in touch with the store for long enough to know what is gone.
+    SettledHost,
+    /// A host that was not.
+    Host,
+}
+
 /// What the host knows from the store and from other hosts.
 #[derive(Debug)]
 pub(crate) struct Knowledge {
@@ -102,7 +113,7 @@
             store::Table::Targets => self.targets.change(rows.rows, rows.version),
             store::Table::Hosts => Vec::new(),
         };
-        self.take(table, &news, now)
+        self.take(table, &news, Source::Store, now)
     }
 
     /// Takes in a whole copy of a table; returns whether there was any news.
@@ -110,6 +121,7 @@
         &mut self,
         table: store::Table,
         rows: store::Rows,
+        source: Source,
         now: instant::Instant,
     ) -> bool {
         let news = match table {
@@ -117,7 +129,12 @@
             store::Table::Targets => self.targets.replace(rows.rows, rows.version),
             store::Table::Hosts => Vec::new(),
         };
-        self.take(table, &news, now)
+        self.take(table, &news, source, now)
+    }
+
+    /// Returns whether targets that are missing here are gone for certain.
+    pub(crate) fn is_settled(&self, now: instant::Instant) -> bool {
+        self.registry.is_settled(now)
     }
 
     /// Drops targets that did not come back after an outage of the store.
@@ -132,13 +149,19 @@
         self.desk.set_targets(&self.registry.targets(), now);
     }
 
-    fn take(&mut self, table: store::Table, news: &[traffic::Row], now: instant::Instant) -> bool {
+    fn take(
+        &mut self,
+        table: store::Table,
+        news: &[traffic::Row],
+        source: Source,
+        now: instant::Instant,
+    ) -> bool {
         if news.is_empty() {
             return false;
         }
         match table {
             store::Table::Orders => self.take_orders(news, now),
-            store::Table::Targets => self.take_targets(news, now),
+            store::Table::Targets => self.take_targets(news, source, now),
             store::Table::Hosts => {}
         }
         true
@@ -173,11 +196,11 @@
         self.desk.set_targets(&self.registry.targets(), now);
     }
 
-    fn take_targets(&mut self, news: &[traffic::Row], now: instant::Instant) {
+    fn take_targets(&mut self, news: &[traffic::Row], source: Source, now: instant::Instant) {
         for row in news {
             match &row.value {
                 Some(bytes) => self.put_target(row, bytes),
-                None => self.remove_target(row, now),
+                None => self.remove_target(row, source, now),
             }
         }
         self.desk.set_targets(&self.registry.targets(), now);
@@ -204,10 +227,11 @@
         }
     }
 
-    fn remove_target(&mut self, row: &traffic::Row, now: instant::Instant) {
-        log::info!(target_id = row.key.as_str(), row = row.version; "target no longer listed");
+    fn remove_target(&mut self, row: &traffic::Row, source: Source, now: instant::Instant) {
+        log::info!(target_id = row.key.as_str(), row = row.version, source:? = source; "target no longer listed");
         if let Ok(id) = name::Target::new(&row.key) {
-            self.registry.remove(&id, now);
+            let is_certain = source == Source::SettledHost;
+            self.registry.remove(&id, is_certain, now);
         }
     }
 }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -11,6 +11,7 @@
 use skylark_wire::http;
 
 use super::error;
+use super::knowledge;
 use super::serve;
 use super::state;
 
@@ -95,6 +96,8 @@
 struct Knowledge {
     orders: Copy,
     targets: Copy,
+    /// Whether targets that are missing are gone for certain.
+    settled: bool,
     hosts: Vec<net::SocketAddr>,
 }
 
@@ -152,6 +155,7 @@
     Knowledge {
         orders: known.mirror(store::Table::Orders).into(),
         targets: known.mirror(store::Table::Targets).into(),
+        settled: known.is_settled(state.clock.now()),
         hosts: state.peers.lock().keys().copied().collect(),
     }
 }
@@ -205,6 +209,11 @@
     for host in knowledge.hosts {
         state.peers.add(host);
     }
+    let origin = if knowledge.settled {
+        knowledge::Source::SettledHost
+    } else {
+        knowledge::Source::Host
+    };
     let mut known = state.knowledge();
     let tables = [
         (store::Table::Orders, knowledge.orders),
@@ -213,7 +222,7 @@
     for (table, copy) in tables {
         let (version, own) = (copy.version, known.mirror(table).version());
         if version > own {
-            known.replace(table, copy.into(), now);
+            known.replace(table, copy.into(), origin, now);
             log::info!(table = table.as_str(), version, before = own, source:% = source; "learned from another host");
         }
     }
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -9,6 +9,7 @@
 use skylark_core::secret;
 use skylark_core::traffic;
 use skylark_platform::header;
+use skylark_runtime::logs;
 
 use super::answer;
 use super::body;
@@ -129,6 +130,7 @@
     let last = story.picks.last();
     let target = last.map_or("", |pick| pick.target.as_str());
     log::info!(
+        target: logs::REQUEST,
         request = story.id.as_str(), status, reason, route, account, rules = story.rules,
         target_id = target, order = last.map_or(0, |pick| pick.order),
         load = last.map_or(0.0, |pick| pick.load), expected:? = last.map(|pick| pick.expected),
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -8,6 +8,9 @@
 
 use super::sink;
 
+/// Log target of the line that each request gets; the first to be dropped.
+pub const REQUEST: &str = "request";
+
 static SINK: sync::OnceLock<sync::Arc<sink::Sink>> = sync::OnceLock::new();
 
 /// Starts logging to standard output without ever waiting for its reader.
@@ -25,7 +28,13 @@
     builder.target(env_logger::Target::Pipe(Box::new(io::sink())));
     builder.format(move |_out, record| {
         let line = line(process, record).map_err(io::Error::other)?;
-        sink.push(record.level(), line.as_bytes());
+        let is_ordinary = record.target() == REQUEST && record.level() > log::Level::Warn;
+        let kind = if is_ordinary {
+            sink::Kind::Ordinary
+        } else {
+            sink::Kind::Rare
+        };
+        sink.push(kind, line.as_bytes());
         Ok(())
     });
     builder.init();
--- a/crates/runtime/src/sink.rs
+++ b/crates/runtime/src/sink.rs
@@ -15,6 +15,15 @@
 /// Stack of the thread that writes, in bytes.
 const STACK_BYTES: usize = 64 * 1_024;
 
+/// Whether a line is one of very many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// One of very many, dropped first.
+    Ordinary,
+    /// A change of what the process knows, or a fault.
+    Rare,
+}
+
 /// Lines that wait to be written, bounded in bytes.
 #[derive(Debug, Default)]
 pub(crate) struct Sink {
@@ -30,11 +39,10 @@
 
 impl Sink {
     /// Adds a line, or counts it as dropped.
-    pub(crate) fn push(&self, level: log::Level, line: &[u8]) {
-        let most = if level <= log::Level::Warn {
-            ALL_BYTES
-        } else {
-            ORDINARY_BYTES
+    pub(crate) fn push(&self, kind: Kind, line: &[u8]) {
+        let most = match kind {
+            Kind::Ordinary => ORDINARY_BYTES,
+            Kind::Rare => ALL_BYTES,
         };
         let mut held = self.lock();
         if held.bytes.len() + line.len() > most {
@@ -46,23 +54,21 @@
         self.filled.notify_one();
     }
 
-    /// Writes what is held to standard output; a reader that is gone loses it.
+    /// Writes what is held to standard output; what a full pipe does not take waits on.
     pub(crate) fn write_held(&self) {
-        let (bytes, dropped) = {
+        let (mut bytes, dropped) = {
             let mut held = self.lock();
             let dropped = std::mem::take(&mut held.dropped);
             (std::mem::take(&mut held.bytes), dropped)
         };
-        let mut out = io::stdout().lock();
-        let written = out.write_all(&bytes);
-        let counted = if dropped > 0 {
-            writeln!(out, "level=WARN event=\"lines dropped\" lines={dropped}")
-        } else {
-            Ok(())
-        };
-        let flushed = out.flush();
-        // Nobody reads the log any more, so there is nowhere to say so.
-        let _unread = written.and(counted).and(flushed);
+        if dropped > 0 {
+            let line = format!("level=WARN event=\"lines dropped\" lines={dropped}\n");
+            bytes.extend_from_slice(line.as_bytes());
+        }
+        let rest = bytes.split_off(write(&bytes));
+        let mut held = self.lock();
+        let newer = std::mem::replace(&mut held.bytes, rest);
+        held.bytes.extend_from_slice(&newer);
     }
 
     fn wait(&self) {
@@ -78,6 +84,26 @@
     }
 }
 
+/// Writes to standard output and returns how many bytes are done with.
+fn write(bytes: &[u8]) -> usize {
+    let mut out = io::stdout().lock();
+    let mut done = 0;
+    while done < bytes.len() {
+        match out.write(&bytes[done..]) {
+            Ok(0) => return bytes.len(),
+            Ok(count) => done += count,
+            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => return done,
+            // Nobody reads the log any more, so there is nowhere to say so.
+            Err(_fault) => return bytes.len(),
+        }
+    }
+    match out.flush() {
+        Ok(()) => done,
+        Err(_fault) => bytes.len(),
+    }
+}
+
 /// Starts the thread that writes the lines.
 pub(crate) fn start(sink: sync::Arc<Sink>) -> io::Result<()> {
     let thread = thread::Builder::new().name("log".to_owned());
