Send cold objects to their own target while its line is short

Change: a target known to be warm comes first; else the object's own target, if a warm run would still be on time; others only from spare room. Plans reckon with a little even demand, so that they do not begin with all at home.

--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -47,6 +47,8 @@
 const OBJECT_TIME: time::Duration = time::Duration::from_secs(10);
 /// Part of a target's slots up to which it takes requests of other targets' objects that come late.
 const SPARE_PART: f64 = 0.5;
+/// Demand per slot that is reckoned with besides the measured one, spread evenly over the zones.
+const EVEN_DEMAND: f64 = 0.15;
 /// Pause of a caller that is refused, in parts of the objective.
 const PAUSE_PART: f64 = 0.5;
 /// Objectives over which refused callers spread their return.
@@ -524,10 +526,12 @@
         now: instant::Instant,
     ) -> Found {
         let mut found = Found::default();
+        let mut own: Option<Choice> = None;
         let mut spare: Option<Choice> = None;
         let mut last: Option<Choice> = None;
         let pace = pool.pace(&ask.route.name);
         let patience = pool.patience.get(&ask.rank()).copied();
+        let known = pace.work(pace::Warmth::Known, ask.route.objective);
         let left = ask.until.since(now);
         let slack = ask.slack(now);
         for (place, position) in order.iter().copied().enumerate() {
@@ -558,10 +562,15 @@
             }
             let is_polite = patience.is_none_or(|patience| wait <= patience);
             let reckoned = expected + ask.route.objective.mul_f64(penalty);
-            if is_polite && reckoned <= slack {
+            let is_known = warmth == pace::Warmth::Known;
+            if is_polite && is_known && reckoned <= slack {
                 found.choice = Some(choice);
                 return found;
             }
+            let is_short = (reckoned - work) + known <= slack;
+            if place == 0 && is_polite && is_short {
+                own = Some(choice);
+            }
             let is_better = spare.is_none_or(|best| reckoned < best.expected);
             let busy = if place == 0 { 1.0 } else { SPARE_PART };
             if seat.has_free_part(busy, now) && is_better {
@@ -572,7 +581,7 @@
             }
         }
         let lone = last.filter(|_choice| !found.is_any_usable);
-        found.choice = spare.or(lone);
+        found.choice = own.or(spare).or(lone);
         found
     }
 
@@ -686,6 +695,10 @@
                     supply.demand += demand;
                 }
             }
+            let slots: f64 = supply.values().map(|supply| supply.slots).sum();
+            for (region, supply) in &mut supply {
+                supply.demand += slots * EVEN_DEMAND * self.layout.part(region);
+            }
             pool.plan.adjust(&own, &supply, now);
             pool.patience = patience(self.rules.as_deref(), service, pool);
         }
--- a/crates/core/src/traffic/layout.rs
+++ b/crates/core/src/traffic/layout.rs
@@ -32,6 +32,13 @@
         all.into_iter().collect()
     }
 
+    /// Returns the part of all availability zones that a region has.
+    #[must_use]
+    pub fn part(&self, region: &name::Region) -> f64 {
+        let count = |zones: usize| f64::from(u32::try_from(zones).unwrap_or(u32::MAX));
+        count(self.zones(region).count()) / count(self.zones.len().max(1))
+    }
+
     /// Returns the availability zones of a region.
     #[must_use]
     pub fn zones<'a>(&'a self, region: &'a name::Region) -> impl Iterator<Item = &'a name::Zone> {
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -133,6 +133,7 @@
         target: logs::REQUEST,
         request = story.id.as_str(), status, reason, route, account, rules = story.rules,
         target_id = target, order = last.map_or(0, |pick| pick.order),
+        warmth:? = last.map(|pick| pick.warmth),
         load = last.map_or(0.0, |pick| pick.load), expected:? = last.map(|pick| pick.expected),
         sends = story.picks.len(), waited = story.waited, took:? = took;
         "request"
