Hold back requests under which targets crashed, on every host

Cause: nothing kept a request that crashes targets from walking through all. Change: a broken connection and a refused one right after confirm a crash; the request's fingerprint is told to all hosts and held back after three targets.

--- a/crates/core/src/traffic/ask.rs
+++ b/crates/core/src/traffic/ask.rs
@@ -25,6 +25,8 @@
     pub arrived: instant::Instant,
     /// When its caller or its route stops waiting.
     pub until: instant::Instant,
+    /// Fingerprint, the same for each resend of the request.
+    pub print: u64,
     /// Targets that it was sent to or that could not be reached.
     pub tried: Vec<name::Target>,
 }
--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -83,8 +83,7 @@
     layout: layout::Layout,
     limits: Limits,
     rules: Option<sync::Arc<rules::Rules>>,
-    closed: collections::BTreeMap<name::Zone, ()>,
-    reopened: collections::BTreeMap<name::Zone, instant::Instant>,
+    closed: collections::BTreeSet<name::Zone>,
     pools: collections::HashMap<name::Service, pool::Pool>,
     lines: collections::HashMap<name::Service, backlog::Backlog<T>>,
     quotas: collections::HashMap<name::Account, quota::Quota>,
@@ -104,8 +103,7 @@
             layout,
             limits,
             rules: None,
-            closed: collections::BTreeMap::new(),
-            reopened: collections::BTreeMap::new(),
+            closed: collections::BTreeSet::new(),
             pools: collections::HashMap::new(),
             lines: collections::HashMap::new(),
             quotas: collections::HashMap::new(),
@@ -135,9 +133,10 @@
         &self.layout
     }
 
-    /// Returns the requests under which targets crashed.
-    pub const fn suspects(&mut self) -> &mut suspects::Suspects {
-        &mut self.suspects
+    /// Returns whether a request with a fingerprint is held back, as targets crashed under it.
+    #[must_use]
+    pub fn is_suspect(&self, print: u64, now: instant::Instant) -> bool {
+        self.suspects.is_held(print, now)
     }
 
     /// Changes the limits that all hosts keep together.
@@ -194,47 +193,43 @@
     /// Takes in the availability zones whose targets are to get nothing.
     pub fn set_closed(&mut self, zones: &collections::BTreeSet<name::Zone>, now: instant::Instant) {
         let before = std::mem::take(&mut self.closed);
-        for zone in before.keys().filter(|zone| !zones.contains(*zone)) {
-            self.reopened.insert(zone.clone(), now);
+        for zone in before.difference(zones) {
             for pool in self.pools.values_mut() {
                 let warmup = pool.terms.warmup;
                 let back = pool.seats.iter_mut().filter(|s| s.target.zone == *zone);
                 back.for_each(|seat| seat.cold.extend(warmup, now));
             }
         }
-        self.closed = zones.iter().map(|zone| (zone.clone(), ())).collect();
+        self.closed.clone_from(zones);
         self.refresh(now);
     }
 
     /// Takes in another host's report.
     pub fn hear(&mut self, report: report::Report, now: instant::Instant) -> fleet::News {
+        for (print, target) in &report.deaths {
+            self.suspects.add(*print, target, now);
+        }
         self.fleet.hear(report, now)
     }
 
-    /// Returns this host's demand by account and by service, to be reported now.
-    pub fn demand(
-        &mut self,
-        now: instant::Instant,
-    ) -> (Vec<(name::Account, f32)>, Vec<(name::Service, f32)>) {
-        let accounts = self
-            .quotas
-            .iter_mut()
+    /// Puts this host's demand and its requests at targets into its report.
+    pub fn fill(&mut self, report: &mut report::Report, now: instant::Instant) {
+        let quotas = self.quotas.iter_mut();
+        report.accounts = quotas
             .map(|(account, quota)| (account.clone(), narrow(quota.report(now))))
             .collect();
-        let services = self
-            .pools
-            .iter_mut()
+        let pools = self.pools.iter_mut();
+        report.services = pools
             .map(|(service, pool)| {
                 pool.reported = pool.demand.rate(now);
                 (service.clone(), narrow(pool.reported))
             })
             .collect();
-        (accounts, services)
+        report.loads = self.loads();
+        report.deaths = self.suspects.recent(now);
     }
 
-    /// Returns this host's requests at targets, to be reported now.
-    #[must_use]
-    pub fn loads(&self) -> Vec<(u32, u16)> {
+    fn loads(&self) -> Vec<(u32, u16)> {
         let seats = self.pools.values().flat_map(|pool| &pool.seats);
         let busy = seats.filter(|seat| seat.own() > 0);
         busy.map(|seat| {
@@ -283,7 +278,7 @@
 
     /// Chooses the service that runs a request of a route.
     pub fn choose_service(&mut self, route: &super::Route) -> Option<name::Service> {
-        if let [part] = &route.parts[..] {
+        if let [part] = &*route.parts {
             return Some(part.service.clone());
         }
         let turns = match self.turns.get_mut(&route.name) {
@@ -448,6 +443,11 @@
         ending: pick::Ending,
         now: instant::Instant,
     ) {
+        match ending {
+            pick::Ending::Broken => self.suspects.broke(ask.print, &pick.target, now),
+            pick::Ending::Unreached => self.suspects.refused(&pick.target, now),
+            _ => {}
+        }
         let way = self.way(&pick.zone);
         let work = now.since(pick.at).saturating_sub(way);
         let Some(pool) = self.pools.get_mut(&pick.service) else {
@@ -509,7 +509,7 @@
             let usable = order.into_iter().filter(|position| {
                 let target = &pool.seats[*position].target;
                 target.state == target::State::Ready
-                    && !self.closed.contains_key(&target.zone)
+                    && !self.closed.contains(&target.zone)
                     && !ask.tried.contains(&target.id)
             });
             let most = if n == 0 { NEAR_CHOICES } else { FAR_CHOICES };
@@ -567,7 +567,7 @@
                 found.choice = Some(choice);
                 return found;
             }
-            let is_short = (reckoned - work) + known <= slack;
+            let is_short = reckoned + known <= slack + work;
             if place == 0 && is_polite && is_short {
                 own = Some(choice);
             }
@@ -676,7 +676,7 @@
                 .collect();
             let is_open = |seat: &&seat::Seat| {
                 seat.target.state == target::State::Ready
-                    && !self.closed.contains_key(&seat.target.zone)
+                    && !self.closed.contains(&seat.target.zone)
             };
             for seat in pool.seats.iter().filter(is_open) {
                 let region = self.layout.region(&seat.target.zone);
--- a/crates/core/src/traffic/layout.rs
+++ b/crates/core/src/traffic/layout.rs
@@ -40,7 +40,6 @@
     }
 
     /// Returns the availability zones of a region.
-    #[must_use]
     pub fn zones<'a>(&'a self, region: &'a name::Region) -> impl Iterator<Item = &'a name::Zone> {
         let all = self.zones.iter();
         all.filter(move |(_zone, of)| *of == region)
--- a/crates/core/src/traffic/pace.rs
+++ b/crates/core/src/traffic/pace.rs
@@ -56,11 +56,9 @@
 
 /// Moves a mean toward a sample, faster where the sample is shorter.
 fn learn(mean: time::Duration, sample: time::Duration) -> time::Duration {
-    if sample < mean {
-        mean - (mean - sample) / FASTER
-    } else {
-        mean + (sample - mean) / SLOWER
-    }
+    let shorter = mean.saturating_sub(sample);
+    let longer = sample.saturating_sub(mean);
+    mean.saturating_sub(shorter / FASTER) + longer / SLOWER
 }
 
 /// Returns a duration in whole microseconds, as far as they fit.
--- a/crates/core/src/traffic/report.rs
+++ b/crates/core/src/traffic/report.rs
@@ -50,4 +50,6 @@
     pub services: Vec<(name::Service, f32)>,
     /// Requests of this host at targets, by the targets' digests.
     pub loads: Vec<(u32, u16)>,
+    /// Fingerprints of requests under which targets crashed lately.
+    pub deaths: Vec<(u64, name::Target)>,
 }
--- a/crates/core/src/traffic/seat.rs
+++ b/crates/core/src/traffic/seat.rs
@@ -17,7 +17,7 @@
 /// Part of a target's slots that may wait at the target in addition.
 const LINE_PARTS: f64 = 2.0;
 /// Shortest silence of a busy target after which it gets nothing new.
-const SHORTEST_STALL: time::Duration = time::Duration::from_millis(1_000);
+const SHORTEST_STALL: time::Duration = time::Duration::from_secs(1);
 /// Mean times of work after which a busy target that is silent gets nothing new.
 const STALL_TIMES: u32 = 5;
 /// Time of work that is reckoned with before any answer.
@@ -182,12 +182,7 @@
                 self.work.add(pace::micros(work).into());
                 self.note(load, now);
             }
-            pick::Ending::Failed(load) => {
-                self.progress = now;
-                self.failures.hit(now);
-                self.note(load, now);
-            }
-            pick::Ending::NotRun(load) => {
+            pick::Ending::Failed(load) | pick::Ending::NotRun(load) => {
                 self.progress = now;
                 self.failures.hit(now);
                 self.note(load, now);
--- a/crates/core/src/traffic/suspects.rs
+++ b/crates/core/src/traffic/suspects.rs
@@ -9,9 +9,13 @@
 /// Targets that a request may crash before it is held back.
 const DEATHS: usize = 3;
 /// Time for which a death is remembered.
-const MEMORY: time::Duration = time::Duration::from_secs(60);
+const MEMORY: time::Duration = time::Duration::from_mins(1);
 /// Fingerprints that are remembered at most.
 const MOST_PRINTS: usize = 4_096;
+/// Time for which a death is told to the other hosts.
+const TOLD_FOR: time::Duration = time::Duration::from_secs(5);
+/// Deaths that one report holds at most.
+const MOST_TOLD: usize = 16;
 /// Time from a broken connection to the refused one that confirms a crash.
 const CONFIRMED_WITHIN: time::Duration = time::Duration::from_secs(2);
 
@@ -45,21 +49,26 @@
         });
     }
 
-    /// Notes that a target refuses connections; returns the deaths that this confirms.
-    pub fn refused(&mut self, target: &name::Target, now: instant::Instant) -> Vec<u64> {
+    /// Notes that a target refuses connections, which confirms a crash shortly before.
+    pub fn refused(&mut self, target: &name::Target, now: instant::Instant) {
         let is_confirmed =
             |seen: &Break| seen.target == *target && now.since(seen.at) < CONFIRMED_WITHIN;
-        let prints: Vec<u64> = self
-            .breaks
-            .iter()
-            .filter(|seen| is_confirmed(seen))
-            .map(|seen| seen.print)
-            .collect();
+        let confirmed = self.breaks.iter().filter(|seen| is_confirmed(seen));
+        let prints: Vec<u64> = confirmed.map(|seen| seen.print).collect();
         self.breaks.retain(|seen| seen.target != *target);
-        for print in &prints {
-            self.add(*print, target, now);
+        for print in prints {
+            self.add(print, target, now);
         }
-        prints
+    }
+
+    /// Returns the latest deaths, for the other hosts.
+    #[must_use]
+    pub fn recent(&self, now: instant::Instant) -> Vec<(u64, name::Target)> {
+        let all = self.deaths.iter().flat_map(|(print, seen)| {
+            let fresh = seen.iter().filter(|(_id, at)| now.since(*at) < TOLD_FOR);
+            fresh.map(|(id, _at)| (*print, id.clone()))
+        });
+        all.take(MOST_TOLD).collect()
     }
 
     /// Adds a death that this host or another one confirmed; one that is known counts once.
--- a/crates/host/src/answer.rs
+++ b/crates/host/src/answer.rs
@@ -20,7 +20,11 @@
     request: &str,
 ) -> Answer {
     let problem = problem::Problem::new(kind, outcome, request);
-    let status = hyper::StatusCode::from_u16(problem.status);
+    let status = match kind {
+        // Callers on the platform take other 4xx as a refusal by the rules in force.
+        kind::ErrorKind::Quarantined => Ok(hyper::StatusCode::SERVICE_UNAVAILABLE),
+        _ => hyper::StatusCode::from_u16(problem.status),
+    };
     let bytes = serde_json::to_vec(&problem).unwrap_or_else(|fault| {
         log::error!(request, error:% = fault; "problem details could not be written");
         Vec::new()
--- a/crates/host/src/body.rs
+++ b/crates/host/src/body.rs
@@ -57,7 +57,7 @@
 
     fn poll_frame(
         mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
+        cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<hyper::body::Frame<Bytes>, Fault>>> {
         if let Some(head) = self.head.take().filter(|head| !head.is_empty()) {
             return task::Poll::Ready(Some(Ok(hyper::body::Frame::data(head))));
@@ -65,7 +65,7 @@
         let Some(rest) = self.rest.as_mut() else {
             return task::Poll::Ready(None);
         };
-        let frame = task::ready!(pin::Pin::new(rest).poll_frame(context));
+        let frame = task::ready!(pin::Pin::new(rest).poll_frame(cx));
         let length = match &frame {
             Some(Ok(frame)) => frame.data_ref().map_or(0, Bytes::len),
             _ => 0,
--- a/crates/host/src/knowledge.rs
+++ b/crates/host/src/knowledge.rs
@@ -137,10 +137,11 @@
         self.registry.is_settled(now)
     }
 
-    /// Drops targets that did not come back after an outage of the store.
-    pub(crate) fn expire(&mut self, now: instant::Instant) {
+    /// Drops targets that did not come back after an outage of the store, and works out shares.
+    pub(crate) fn refresh(&mut self, now: instant::Instant) {
         let gone = self.registry.expire(now);
         if gone.is_empty() {
+            self.desk.refresh(now);
             return;
         }
         for id in &gone {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -18,7 +18,7 @@
 /// Path under which a host tells all that it knows.
 const PATH: &str = "/knowledge";
 /// Time that an answer of another host may take.
-const CALL_TIME: time::Duration = time::Duration::from_millis(1_000);
+const CALL_TIME: time::Duration = time::Duration::from_secs(1);
 /// Pause between two questions.
 const PAUSE: time::Duration = time::Duration::from_millis(300);
 /// Time for which a host that is not heard is told every report.
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -176,6 +176,7 @@
         Some(key) => traffic::Object::new(&route.name, key.as_bytes()),
         None => traffic::Object::new(&route.name, story.id.as_bytes()),
     };
+    let print = print(&parts, account.as_deref(), &content);
     let mut ask = traffic::Ask {
         route,
         account,
@@ -183,6 +184,7 @@
         object,
         arrived,
         until,
+        print,
         tried: Vec::new(),
     };
     admit(state, &ask)?;
@@ -263,6 +265,12 @@
     }
     let mut known = state.knowledge();
     let desk = known.desk_mut();
+    if desk.is_suspect(ask.print, now) {
+        return Err(Refused::new(
+            kind::ErrorKind::Quarantined,
+            "targets crashed under it",
+        ));
+    }
     if let Some(account) = &ask.account {
         desk.charge(account, now).map_err(|pause| {
             Refused::new(kind::ErrorKind::OverRate, "account over its rate").with_pause(pause)
@@ -272,6 +280,25 @@
     Ok(())
 }
 
+/// Returns the fingerprint of a request, the same for each resend of it.
+fn print(
+    parts: &hyper::http::request::Parts,
+    account: Option<&traffic::Account>,
+    content: &exchange::Content,
+) -> u64 {
+    use std::hash::Hash as _;
+    use std::hash::Hasher as _;
+
+    let mut hasher = std::hash::DefaultHasher::new();
+    parts.method.hash(&mut hasher);
+    parts.uri.hash(&mut hasher);
+    account.map(|account| &account.name).hash(&mut hasher);
+    if let exchange::Content::Whole(bytes) = content {
+        bytes.hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
 fn form(
     parts: hyper::http::request::Parts,
     story: &Story,
@@ -324,12 +351,11 @@
             sends += 1;
         }
         let may_run_again = match outcome.ending {
-            traffic::Ending::Answered(_) => false,
             traffic::Ending::Failed(_) | traffic::Ending::Broken => ask.route.is_idempotent(),
             traffic::Ending::NotRun(_)
             | traffic::Ending::Misdirected
             | traffic::Ending::Unreached => true,
-            traffic::Ending::Silent | traffic::Ending::Left => false,
+            traffic::Ending::Answered(_) | traffic::Ending::Silent | traffic::Ending::Left => false,
         };
         let has_sends_left = sends < ask.route.attempts && content.is_there();
         let may_repeat = may_run_again
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -38,11 +38,7 @@
         if is_news || refreshes.is_multiple_of(REPORT_EVERY) {
             send(&socket, &state).await?;
         }
-        {
-            let mut known = state.knowledge();
-            known.expire(now);
-            known.desk_mut().refresh(now);
-        }
+        state.knowledge().refresh(now);
         behind = if is_behind(&state) { behind + 1 } else { 0 };
         if behind >= BEHIND_FOR {
             state.behind.notify_one();
@@ -56,8 +52,7 @@
 async fn send(socket: &tokio::net::UdpSocket, state: &state::State) -> error::Result<()> {
     let now = state.clock.now();
     let mut report = state.report(now);
-    (report.accounts, report.services) = state.knowledge().desk_mut().demand(now);
-    report.loads = state.knowledge().desk().loads();
+    state.knowledge().desk_mut().fill(&mut report, now);
     let bytes = bincode::serialize(&report)?;
     let port = state.settings().report_port;
     for control in state.peers.due(now) {
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -134,6 +134,7 @@
             accounts: Vec::new(),
             services: Vec::new(),
             loads: Vec::new(),
+            deaths: Vec::new(),
         }
     }
 }
--- a/crates/host/src/waiting.rs
+++ b/crates/host/src/waiting.rs
@@ -33,9 +33,9 @@
         return;
     }
     let woken = known.desk_mut().wake(now);
-    woken
-        .into_iter()
-        .for_each(|woken| tell(known.desk_mut(), woken, now));
+    for one in woken {
+        tell(known.desk_mut(), one, now);
+    }
 }
 
 /// Tells a request what becomes of it; a target that it can no longer use is free again.
