--- a/crates/core/src/traffic/fleet.rs
+++ b/crates/core/src/traffic/fleet.rs
@@ -6,6 +6,7 @@
 use crate::instant;
 use crate::name;
 
+use super::hash;
 use super::report;
 
 /// The entry hosts that were heard lately, with their last report.
@@ -75,6 +76,14 @@
             .map(|heard| &heard.report)
     }
 
+    /// Returns how many live hosts come before a host in an order that all hosts share.
+    #[must_use]
+    pub fn place(&self, own: &name::Host, now: instant::Instant) -> usize {
+        let own = hash::digest(own.as_str());
+        let others = self.live(now).map(|r| hash::digest(r.host.as_str()));
+        others.filter(|other| *other < own).count()
+    }
+
     /// Returns every host that is not forgotten, with the time since it was heard.
     pub fn known(
         &self,
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -12,6 +12,12 @@
 
 /// Tables whose changes every host follows.
 pub(crate) const FOLLOWED: [store::Table; 2] = [store::Table::Orders, store::Table::Targets];
+/// Hosts that ask the store often; the others hear of news from them, should their feeds be silent.
+const WATCHERS: usize = 3;
+/// Time for which a watcher's feed waits; a silent one is noticed inside the time to apply changes.
+const WATCHER_WAIT: time::Duration = time::Duration::from_millis(2_500);
+/// Time for which another host's feed waits.
+const OTHER_WAIT: time::Duration = time::Duration::from_secs(15);
 /// Pause after a failed call; doubled with each one in a row.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Longest pause between failed calls, well inside the time in which changes must be in force.
@@ -27,7 +33,10 @@
         let address = state.settings().store;
         let after = state.knowledge().mirror(table).version();
         let answer = if is_whole && after > 0 {
-            state.store.follow(address, table, after).await
+            state
+                .store
+                .follow(address, table, after, wait(&state))
+                .await
         } else {
             state.store.read(address, table).await
         };
@@ -47,6 +56,7 @@
                     continue;
                 }
                 state.knowledge().reach(table, false, now);
+                is_whole = false;
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
@@ -54,6 +64,21 @@
     }
 }
 
+/// Returns the time for which this host's feeds wait.
+fn wait(state: &state::State) -> time::Duration {
+    let now = state.clock.now();
+    let place = state
+        .knowledge()
+        .desk()
+        .fleet()
+        .place(&state.identity.host, now);
+    if place < WATCHERS {
+        WATCHER_WAIT
+    } else {
+        OTHER_WAIT
+    }
+}
+
 /// Takes in changes, or a whole table.
 fn take(state: &state::State, table: store::Table, rows: store::Rows, is_change: bool) {
     let now = state.clock.now();
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -65,6 +65,15 @@
         Self { inner, limit }
     }
 
+    /// Returns a client with the same connections and another time limit.
+    #[must_use]
+    pub fn with_limit(&self, limit: time::Duration) -> Self {
+        Self {
+            inner: self.inner.clone(),
+            limit,
+        }
+    }
+
     /// Sends one request and waits for its whole answer.
     ///
     /// # Errors
