--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -45,7 +45,7 @@
     assert_eq!(reply.header("request-id"), Some("id-1"));
     assert_eq!(reply.header("response-stamp"), Some("s.id-1"));
     assert_eq!(reply.header("backend-load"), None);
-    assert_eq!(&reply.body[..], b"i-1 answered id-1");
+    assert_eq!(&*reply.body, b"i-1 answered id-1");
     let head = &targets[0].heads()[0];
     assert!(head.starts_with("GET /look/x?y=1 HTTP/1.1"), "{head}");
     assert_eq!(
@@ -114,7 +114,9 @@
     .into_iter()
     .enumerate()
     {
-        targets.iter().for_each(|target| target.set_manner(manner));
+        for target in &targets {
+            target.set_manner(manner);
+        }
         let id = format!("id-{n}");
         let reply = host.ask("POST", "/order/x", &id).await;
         assert_eq!(reply.status, 502, "{manner:?}");
@@ -140,7 +142,7 @@
     let reply = host.ask("GET", "/look/x", "second").await;
     assert_eq!(reply.status, 200);
     assert_eq!(
-        &reply.body[..],
+        &*reply.body,
         format!("{} answered second", targets[1 - own].id).as_bytes()
     );
 }
@@ -178,7 +180,7 @@
         let id = format!("id-{n}");
         let reply = host.ask("GET", "/look/x", &id).await;
         if reply.status == 200 {
-            assert_eq!(&reply.body[..], format!("i-1 answered {id}").as_bytes());
+            assert_eq!(&*reply.body, format!("i-1 answered {id}").as_bytes());
         }
     }
 }
