--- a/crates/core/src/traffic/pace.rs
+++ b/crates/core/src/traffic/pace.rs
@@ -14,9 +14,22 @@
 }
 
 impl Warmth {
-    const ALL: usize = 3;
+    /// Every grade, the warmest first.
+    pub const ALL: [Self; 3] = [Self::Known, Self::Likely, Self::None];
 
-    const fn position(self) -> usize {
+    /// Returns the grade's name in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Known => "known",
+            Self::Likely => "likely",
+            Self::None => "none",
+        }
+    }
+
+    /// Returns the grade's place in [`Self::ALL`].
+    #[must_use]
+    pub const fn position(self) -> usize {
         match self {
             Self::Known => 0,
             Self::Likely => 1,
@@ -26,7 +39,7 @@
 }
 
 /// Parts of the objective that are reckoned with before any answer, by warmth.
-const FIRST_PARTS: [f64; Warmth::ALL] = [0.35, 0.5, 0.9];
+const FIRST_PARTS: [f64; Warmth::ALL.len()] = [0.35, 0.5, 0.9];
 
 /// Part by which a shorter sample moves the mean; targets warm up faster than they forget.
 const FASTER: u32 = 3;
@@ -36,7 +49,7 @@
 /// Times that requests of one route take, by the target's warmth.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
-    means: [Option<time::Duration>; Warmth::ALL],
+    means: [Option<time::Duration>; Warmth::ALL.len()],
 }
 
 impl Pace {
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -32,6 +32,7 @@
     loop {
         let address = state.settings().store;
         let after = state.knowledge().mirror(table).version();
+        state.metrics.call();
         let answer = if is_whole && after > 0 {
             state
                 .store
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod knowledge;
 mod lookups;
+mod metrics;
 mod peers;
 mod pipeline;
 mod readiness;
@@ -33,6 +34,8 @@
 /// Fails on wrong settings or an address that cannot be bound.
 pub fn run() -> Result<()> {
     let flags = xflags::parse_or_exit! {
+        /// Port on which the host's address serves metrics; none without it
+        optional --metrics port: u16
         /// Check the settings and exit
         optional --check
         /// Print the version and exit
@@ -55,16 +58,17 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(start(path, settings))
+    runtime.block_on(start(path, settings, flags.metrics))
 }
 
 async fn start(
     path: std::path::PathBuf,
     settings: skylark_platform::settings::Settings,
+    metrics: Option<u16>,
 ) -> Result<()> {
     let stop = skylark_runtime::stop::Stop::with_signals()?;
     let state = sync::Arc::new(state::State::new(path, settings)?);
-    let sockets = serve::Sockets::bind(&state).await?;
+    let sockets = serve::Sockets::bind(&state, metrics).await?;
     log::info!(host:% = state.identity.host, life = state.life, zone:% = state.identity.zone; "started");
     let finished = skylark_runtime::stop::Stop::new();
     let mut tree = supervisor::Supervisor::new(finished.clone());
@@ -92,6 +96,7 @@
         lookups,
         control,
         reports,
+        metrics,
     } = sockets;
     let shared = sync::Arc::clone(state);
     tree.spawn("callers", move || {
@@ -118,6 +123,12 @@
     tree.spawn("tell reports", move || {
         reports::tell(sync::Arc::clone(&reports), sync::Arc::clone(&shared))
     });
+    if let Some(listener) = metrics {
+        let shared = sync::Arc::clone(state);
+        tree.spawn("metrics", move || {
+            metrics::serve(sync::Arc::clone(&listener), sync::Arc::clone(&shared))
+        });
+    }
     for table in follow::FOLLOWED {
         let shared = sync::Arc::clone(state);
         tree.spawn("store", move || {
--- /dev/null
+++ b/crates/host/src/metrics.rs
@@ -0,0 +1,176 @@
+//! Counters and latency histograms, served as text.
+
+use std::fmt::Write as _;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use skylark_core::kind;
+use skylark_core::traffic;
+
+use super::error;
+use super::serve;
+use super::state;
+
+/// Path under which the figures are served.
+const PATH: &str = "/metrics";
+/// Upper bounds of the histogram's buckets, in milliseconds.
+const BOUNDS: [u64; 10] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 10_000];
+
+/// Counts in buckets of time.
+#[derive(Debug, Default)]
+struct Histogram {
+    counts: [atomic::AtomicU64; BOUNDS.len() + 1],
+    sum: atomic::AtomicU64,
+}
+
+impl Histogram {
+    fn add(&self, span: time::Duration) {
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        let bucket = BOUNDS.partition_point(|bound| *bound < millis);
+        self.counts[bucket].fetch_add(1, atomic::Ordering::Relaxed);
+        self.sum.fetch_add(millis, atomic::Ordering::Relaxed);
+    }
+
+    fn write(&self, name: &str, out: &mut String) -> std::fmt::Result {
+        writeln!(out, "# TYPE {name} histogram")?;
+        let mut total = 0;
+        for (position, count) in self.counts.iter().enumerate() {
+            total += count.load(atomic::Ordering::Relaxed);
+            let bound = BOUNDS.get(position).map(u64::to_string);
+            let bound = bound.as_deref().unwrap_or("+Inf");
+            writeln!(out, "{name}_bucket{{le=\"{bound}\"}} {total}")?;
+        }
+        let sum = self.sum.load(atomic::Ordering::Relaxed);
+        writeln!(out, "{name}_sum {sum}\n{name}_count {total}")
+    }
+}
+
+/// Counters of one process since its start.
+#[derive(Debug, Default)]
+pub(crate) struct Metrics {
+    answered: atomic::AtomicU64,
+    refused: [atomic::AtomicU64; kind::ErrorKind::ALL.len()],
+    waited: atomic::AtomicU64,
+    sends: [atomic::AtomicU64; traffic::Warmth::ALL.len()],
+    repeats: atomic::AtomicU64,
+    request: Histogram,
+    refusal: Histogram,
+    store: atomic::AtomicU64,
+}
+
+impl Metrics {
+    /// Counts a request that ended with a target's answer.
+    pub(crate) fn answer(&self, took: time::Duration) {
+        self.answered.fetch_add(1, atomic::Ordering::Relaxed);
+        self.request.add(took);
+    }
+
+    /// Counts a request that ended without one.
+    pub(crate) fn refuse(&self, kind: kind::ErrorKind, took: time::Duration) {
+        let position = kind::ErrorKind::ALL.iter().position(|other| *other == kind);
+        if let Some(counter) = position.and_then(|position| self.refused.get(position)) {
+            counter.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        self.refusal.add(took);
+    }
+
+    /// Counts a request that waited for room.
+    pub(crate) fn wait(&self) {
+        self.waited.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Counts a send to a target.
+    pub(crate) fn send(&self, warmth: traffic::Warmth, is_repeat: bool) {
+        self.sends[warmth.position()].fetch_add(1, atomic::Ordering::Relaxed);
+        let repeats = u64::from(is_repeat);
+        self.repeats.fetch_add(repeats, atomic::Ordering::Relaxed);
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn call(&self) {
+        self.store.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    fn write(&self, state: &state::State) -> Result<String, std::fmt::Error> {
+        let mut out = String::new();
+        let get = |counter: &atomic::AtomicU64| counter.load(atomic::Ordering::Relaxed);
+        let counters = [
+            ("skylark_host_answered_total", get(&self.answered)),
+            ("skylark_host_waited_total", get(&self.waited)),
+            ("skylark_host_repeats_total", get(&self.repeats)),
+            ("skylark_host_store_calls_total", get(&self.store)),
+        ];
+        for (name, value) in counters {
+            writeln!(out, "# TYPE {name} counter\n{name} {value}")?;
+        }
+        writeln!(out, "# TYPE skylark_host_refused_total counter")?;
+        for (kind, counter) in kind::ErrorKind::ALL.iter().zip(&self.refused) {
+            let value = get(counter);
+            writeln!(out, "skylark_host_refused_total{{kind=\"{kind}\"}} {value}")?;
+        }
+        writeln!(out, "# TYPE skylark_host_sends_total counter")?;
+        for (warmth, counter) in traffic::Warmth::ALL.iter().zip(&self.sends) {
+            let (warmth, value) = (warmth.as_str(), get(counter));
+            writeln!(
+                out,
+                "skylark_host_sends_total{{warmth=\"{warmth}\"}} {value}"
+            )?;
+        }
+        let busy = state.busy.load(atomic::Ordering::Relaxed);
+        let versions = state.knowledge().versions();
+        let hosts = state
+            .knowledge()
+            .desk()
+            .fleet()
+            .live(state.clock.now())
+            .count();
+        let gauges = [
+            (
+                "skylark_host_busy_requests",
+                u64::try_from(busy).unwrap_or(u64::MAX),
+            ),
+            ("skylark_host_orders_version", versions.orders),
+            ("skylark_host_targets_version", versions.targets),
+            (
+                "skylark_host_heard_hosts",
+                u64::try_from(hosts).unwrap_or(u64::MAX),
+            ),
+        ];
+        for (name, value) in gauges {
+            writeln!(out, "# TYPE {name} gauge\n{name} {value}")?;
+        }
+        self.request
+            .write("skylark_host_answer_milliseconds", &mut out)?;
+        self.refusal
+            .write("skylark_host_refusal_milliseconds", &mut out)?;
+        Ok(out)
+    }
+}
+
+/// Answers whoever collects the figures, until the task is dropped.
+pub(crate) async fn serve(
+    listener: sync::Arc<tokio::net::TcpListener>,
+    state: sync::Arc<state::State>,
+) -> error::Result<()> {
+    serve::answer(listener, "metrics", move |request| {
+        let state = sync::Arc::clone(&state);
+        async move {
+            if request.uri().path() != PATH {
+                return serve::reply(hyper::StatusCode::NOT_FOUND, "text/plain", Vec::new());
+            }
+            match state.metrics.write(&state) {
+                Ok(text) => {
+                    let media = "text/plain; version=0.0.4";
+                    serve::reply(hyper::StatusCode::OK, media, text.into_bytes())
+                }
+                Err(fault) => {
+                    log::error!(error:% = fault; "metrics could not be written");
+                    let status = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+                    serve::reply(status, "text/plain", Vec::new())
+                }
+            }
+        }
+    })
+    .await
+}
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -107,10 +107,12 @@
     let took = state.clock.now().since(arrived);
     let mut answer = match result {
         Ok(answer) => {
+            state.metrics.answer(took);
             tell(&story, answer.status().as_u16(), took, "answered");
             answer
         }
         Err(refused) => {
+            state.metrics.refuse(refused.kind, took);
             tell(&story, refused.kind.answer().status, took, refused.reason);
             answer::refuse(refused.kind, refused.outcome, refused.pause, &story.id)
         }
@@ -335,6 +337,7 @@
     let mut sends = 0;
     loop {
         let pick = place(state, ask, story).await?;
+        state.metrics.send(pick.warmth, sends > 0);
         story.picks.push(pick.clone());
         ask.tried.push(pick.target.clone());
         let mut attempt = Attempt {
@@ -407,6 +410,7 @@
     let placing = match placing {
         traffic::Placing::Wait(until) => {
             story.waited = true;
+            state.metrics.wait();
             wait(state, ask, until).await
         }
         placing => placing,
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -19,14 +19,19 @@
     pub(crate) lookups: sync::Arc<tokio::net::TcpListener>,
     pub(crate) control: sync::Arc<tokio::net::TcpListener>,
     pub(crate) reports: sync::Arc<tokio::net::UdpSocket>,
+    pub(crate) metrics: Option<sync::Arc<tokio::net::TcpListener>>,
 }
 
 impl Sockets {
     /// Binds every address of the settings.
-    pub(crate) async fn bind(state: &state::State) -> error::Result<Self> {
+    pub(crate) async fn bind(state: &state::State, metrics: Option<u16>) -> error::Result<Self> {
         let settings = state.settings();
         let reports = net::SocketAddr::new(settings.control.ip(), settings.report_port);
         let socket = tokio::net::UdpSocket::bind(reports).await;
+        let metrics = match metrics {
+            Some(port) => Some(listen(net::SocketAddr::new(settings.control.ip(), port)).await?),
+            None => None,
+        };
         Ok(Self {
             callers: listen(settings.callers).await?,
             readiness: listen(settings.readiness).await?,
@@ -36,6 +41,7 @@
                 address: reports,
                 cause,
             })?),
+            metrics,
         })
     }
 }
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -14,6 +14,7 @@
 use super::connections;
 use super::error;
 use super::knowledge;
+use super::metrics;
 use super::peers;
 
 /// Time for which callers keep a look-up answer; three of them fit in the usual stop.
@@ -29,6 +30,7 @@
     pub(crate) store: store::Store,
     pub(crate) connections: connections::Connections,
     pub(crate) peers: peers::Addresses,
+    pub(crate) metrics: metrics::Metrics,
     /// Wakes the task that asks other hosts for what they know.
     pub(crate) behind: tokio::sync::Notify,
     /// Wakes the task that tells the other hosts of news.
@@ -63,6 +65,7 @@
             store: store::Store::new(),
             connections: connections::Connections::new(),
             peers: peers::Addresses::new(&settings.seeds, settings.control),
+            metrics: metrics::Metrics::default(),
             behind: tokio::sync::Notify::new(),
             news: tokio::sync::Notify::new(),
             line: tokio::sync::Notify::new(),
--- a/crates/host/tests/common/host.rs
+++ b/crates/host/tests/common/host.rs
@@ -16,6 +16,7 @@
     pub(crate) callers: net::SocketAddr,
     pub(crate) readiness: net::SocketAddr,
     pub(crate) lookups: net::SocketAddr,
+    pub(crate) metrics: net::SocketAddr,
 }
 
 impl Host {
@@ -29,7 +30,7 @@
     /// Starts a process.
     pub(crate) fn start_unready(store: &store::Store) -> Self {
         let directory = tempfile::tempdir().expect("directory");
-        let [callers, readiness, control, lookups, reports] = free_addresses();
+        let [callers, readiness, control, lookups, reports, metrics] = free_addresses();
         let settings = settings(
             store.address,
             callers,
@@ -40,7 +41,9 @@
         );
         std::fs::write(directory.path().join("boot.json"), settings.to_string()).expect("write");
         let log = std::fs::File::create(directory.path().join("log")).expect("log");
+        let port = metrics.port().to_string();
         let child = command(&directory.path().join("boot.json"))
+            .args(["--metrics", &port])
             .stdout(log)
             .spawn()
             .expect("start");
@@ -50,6 +53,7 @@
             callers,
             readiness,
             lookups,
+            metrics,
         }
     }
 
@@ -128,8 +132,8 @@
     command
 }
 
-fn free_addresses() -> [net::SocketAddr; 5] {
-    let listeners = [(); 5].map(|()| net::TcpListener::bind("127.0.0.1:0").expect("bind"));
+fn free_addresses() -> [net::SocketAddr; 6] {
+    let listeners = [(); 6].map(|()| net::TcpListener::bind("127.0.0.1:0").expect("bind"));
     listeners.map(|listener| listener.local_addr().expect("address"))
 }
 
--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -365,3 +365,23 @@
         "unknown fields are left to later versions"
     );
 }
+
+#[tokio::test]
+async fn metrics_count_answers_and_refusals() {
+    let (store, _targets) = deployment(&["i-1"]).await;
+    let host = host::Host::start(&store).await;
+    host.ask("GET", "/look/x", "id-1").await;
+    host.ask("GET", "/other/x", "id-2").await;
+    let request = common::request("GET", "/metrics", "m", Vec::new());
+    let reply = common::call(host.metrics, request).await.expect("answer");
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    for line in [
+        "skylark_host_answered_total 1",
+        "skylark_host_refused_total{kind=\"no-route\"} 1",
+        "skylark_host_sends_total{warmth=\"likely\"} 1",
+        "skylark_host_answer_milliseconds_count 1",
+        "skylark_host_refusal_milliseconds_count 1",
+    ] {
+        assert!(text.lines().any(|other| other == line), "{line} in\n{text}");
+    }
+}
