Pass on between hosts that a target is gone for certain

Ruled out: the return of the store (1.8 s after the cut, now sooner: connections are given up after 0.6 s, calls come again after 0.4 s). Change: a host tells which entries it keeps; all others that it lacks are gone. Tests: fails before, passes after.

--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -80,7 +80,7 @@
 
     /// Removes a target that the store lists no more, unless it may have lapsed in an outage.
     ///
-    /// A host that was not cut off from the store knows that for certain.
+    /// It is certain where another host says so that does not keep the entry itself.
     pub fn remove(&mut self, id: &name::Target, is_certain: bool, now: instant::Instant) {
         let entry = self.entries.get_mut(id);
         match entry.filter(|entry| entry.target.state == target::State::Ready) {
@@ -109,10 +109,11 @@
         ids
     }
 
-    /// Returns whether entries that are missing are gone for certain.
+    /// Returns the targets that are kept although the store lists them no more.
     #[must_use]
-    pub fn is_settled(&self, now: instant::Instant) -> bool {
-        is_settled(self.reachable, now)
+    pub fn kept(&self) -> Vec<name::Target> {
+        let kept = self.entries.iter().filter(|(_id, entry)| entry.gone);
+        kept.map(|(id, _entry)| id.clone()).collect()
     }
 
     /// Returns the targets in order of their names.
--- a/crates/core/tests/traffic/knowledge.rs
+++ b/crates/core/tests/traffic/knowledge.rs
@@ -113,6 +113,29 @@
     assert!(registry.targets().is_empty());
 }
 
+/// Found by hunt day scale-2 --seed 1042705567732: one cut-off host learned of the removal from another one.
+#[test]
+fn certainty_is_passed_on_between_hosts_that_are_cut_off() {
+    let target = common::target("t0", "a1", 5);
+    let hosts = [(); 2].map(|()| {
+        let mut registry = traffic::Registry::default();
+        registry.put(target.clone());
+        registry.reach(false, common::at(0));
+        registry
+    });
+    let [mut first, mut second] = hosts;
+    first.remove(&target.id, true, common::at(1_000));
+    assert!(first.kept().is_empty());
+    let is_certain = !first.kept().contains(&target.id);
+    second.remove(&target.id, is_certain, common::at(1_500));
+    assert!(second.targets().is_empty());
+    let mut third = traffic::Registry::default();
+    third.put(target.clone());
+    third.reach(false, common::at(0));
+    third.remove(&target.id, false, common::at(1_000));
+    assert_eq!(third.kept(), [target.id]);
+}
+
 #[test]
 fn a_draining_target_is_not_kept() {
     let mut registry = traffic::Registry::default();
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -21,7 +21,7 @@
 /// Pause after a failed call; doubled with each one in a row.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Longest pause between failed calls, well inside the time in which changes must be in force.
-const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(800);
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Pause between the changes of one table, in which several are taken at once.
 const GATHER: time::Duration = time::Duration::from_millis(60);
 
--- a/crates/host/src/knowledge.rs
+++ b/crates/host/src/knowledge.rs
@@ -14,13 +14,11 @@
 
 /// Where news comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Source {
+pub(crate) enum Source<'a> {
     /// The store itself.
     Store,
-    /// A host that was in touch with the store for long enough to know what is gone.
-    SettledHost,
-    /// A host that was not.
-    Host,
+    /// Another host, and the targets that it keeps although the store lists them no more.
+    Host(&'a [name::Target]),
 }
 
 /// What the host knows from the store and from other hosts.
@@ -121,7 +119,7 @@
         &mut self,
         table: store::Table,
         rows: store::Rows,
-        source: Source,
+        source: Source<'_>,
         now: instant::Instant,
     ) -> bool {
         let news = match table {
@@ -132,9 +130,9 @@
         self.take(table, &news, source, now)
     }
 
-    /// Returns whether targets that are missing here are gone for certain.
-    pub(crate) fn is_settled(&self, now: instant::Instant) -> bool {
-        self.registry.is_settled(now)
+    /// Returns the targets that are kept although the store lists them no more.
+    pub(crate) fn kept(&self) -> Vec<name::Target> {
+        self.registry.kept()
     }
 
     /// Drops targets that did not come back after an outage of the store, and works out shares.
@@ -154,7 +152,7 @@
         &mut self,
         table: store::Table,
         news: &[traffic::Row],
-        source: Source,
+        source: Source<'_>,
         now: instant::Instant,
     ) -> bool {
         if news.is_empty() {
@@ -197,7 +195,7 @@
         self.desk.set_targets(&self.registry.targets(), now);
     }
 
-    fn take_targets(&mut self, news: &[traffic::Row], source: Source, now: instant::Instant) {
+    fn take_targets(&mut self, news: &[traffic::Row], source: Source<'_>, now: instant::Instant) {
         for row in news {
             match &row.value {
                 Some(bytes) => self.put_target(row, bytes),
@@ -228,10 +226,10 @@
         }
     }
 
-    fn remove_target(&mut self, row: &traffic::Row, source: Source, now: instant::Instant) {
+    fn remove_target(&mut self, row: &traffic::Row, source: Source<'_>, now: instant::Instant) {
         log::info!(target_id = row.key.as_str(), row = row.version, source:? = source; "target no longer listed");
         if let Ok(id) = name::Target::new(&row.key) {
-            let is_certain = source == Source::SettledHost;
+            let is_certain = matches!(source, Source::Host(kept) if !kept.contains(&id));
             self.registry.remove(&id, is_certain, now);
         }
     }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use skylark_core::instant;
+use skylark_core::name;
 use skylark_core::traffic;
 use skylark_platform::store;
 use skylark_wire::http;
@@ -96,8 +97,8 @@
 struct Knowledge {
     orders: Copy,
     targets: Copy,
-    /// Whether targets that are missing are gone for certain.
-    settled: bool,
+    /// Targets that the host keeps although the store lists them no more.
+    kept: Vec<name::Target>,
     hosts: Vec<net::SocketAddr>,
 }
 
@@ -155,7 +156,7 @@
     Knowledge {
         orders: known.mirror(store::Table::Orders).into(),
         targets: known.mirror(store::Table::Targets).into(),
-        settled: known.is_settled(state.clock.now()),
+        kept: known.kept(),
         hosts: state.peers.lock().keys().copied().collect(),
     }
 }
@@ -209,11 +210,7 @@
     for host in knowledge.hosts {
         state.peers.add(host);
     }
-    let origin = if knowledge.settled {
-        knowledge::Source::SettledHost
-    } else {
-        knowledge::Source::Host
-    };
+    let origin = knowledge::Source::Host(&knowledge.kept);
     let mut known = state.knowledge();
     let tables = [
         (store::Table::Orders, knowledge.orders),
--- a/crates/host/tests/common/host.rs
+++ b/crates/host/tests/common/host.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::path;
 use std::process;
+use std::sync::atomic;
 use std::time;
 
 use super::Reply;
@@ -23,7 +24,12 @@
     /// Starts a process that is ready.
     pub(crate) async fn start(store: &store::Store) -> Self {
         let host = Self::start_unready(store);
-        super::eventually("the host is ready", || async { host.is_ready().await }).await;
+        let began = time::Instant::now();
+        while !host.is_ready().await {
+            let log = host.log();
+            assert!(began.elapsed() < super::PATIENCE, "not ready:\n{log}");
+            tokio::time::sleep(super::LOOK).await;
+        }
         host
     }
 
@@ -44,6 +50,7 @@
         let port = metrics.port().to_string();
         let child = command(&directory.path().join("boot.json"))
             .args(["--metrics", &port])
+            .stderr(log.try_clone().expect("log"))
             .stdout(log)
             .spawn()
             .expect("start");
@@ -132,9 +139,14 @@
     command
 }
 
+/// Returns addresses on a loopback address that no other host of any test run uses.
 fn free_addresses() -> [net::SocketAddr; 6] {
-    let listeners = [(); 6].map(|()| net::TcpListener::bind("127.0.0.1:0").expect("bind"));
-    listeners.map(|listener| listener.local_addr().expect("address"))
+    static HOSTS: atomic::AtomicU8 = atomic::AtomicU8::new(1);
+    let number = HOSTS.fetch_add(1, atomic::Ordering::Relaxed);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let ip = net::Ipv4Addr::new(127, high | 128, low, number);
+    let ports = [8_200, 8_201, 8_202, 8_203, 8_204, 8_205];
+    ports.map(|port| net::SocketAddr::from((ip, port)))
 }
 
 /// Returns settings as the platform writes them.
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -8,7 +8,7 @@
 use hyper_util::rt;
 
 /// Time that a connection may take to open.
-const CONNECT_TIME: time::Duration = time::Duration::from_secs(1);
+const CONNECT_TIME: time::Duration = time::Duration::from_millis(600);
 /// Silence of a connection before it is probed, and between probes.
 const SILENCE: time::Duration = time::Duration::from_secs(1);
 /// Unanswered probes after which a connection counts as lost.
