Judge the new kind timed-out in the burn report's naive walk

The closed list of error kinds has two new ones; the naive judge of the test counted timed-out as the caller's fault, the report as a failed answer, which it is: the request may have run. No expectation of an older kind changes.

--- a/crates/core/tests/burn.rs
+++ b/crates/core/tests/burn.rs
@@ -150,7 +150,7 @@
             let is_charged = *outcome == kind::Outcome::Unknown || kind.as_str() == "over-rate";
             let word = match kind.as_str() {
                 "over-rate" if !has_token => "excluded",
-                "home-unreachable" | "target-failed" => "failed",
+                "home-unreachable" | "target-failed" | "timed-out" => "failed",
                 "over-rate" | "stale-keys" | "deadline-unmet" | "overloaded" | "no-target"
                 | "leaving" | "not-ready" => "refused",
                 _ => "excluded",
