--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -12,11 +12,13 @@
 use super::account;
 use super::ask;
 use super::backlog;
+use super::choice;
 use super::cold;
 use super::fleet;
 use super::hash;
 use super::layout;
 use super::pace;
+use super::patience;
 use super::pick;
 use super::plan;
 use super::pool;
@@ -40,8 +42,6 @@
 const NEAR_CHOICES: usize = 4;
 /// Targets of each further region that are considered.
 const FAR_CHOICES: usize = 2;
-/// Part of a more urgent request's spare time that less urgent ones may fill.
-const YIELDED_PART: f64 = 0.4;
 /// Way to a target and back that is reckoned with before any connection to its zone.
 const FIRST_WAY: time::Duration = time::Duration::from_millis(10);
 /// Time after which objects that came no more are forgotten.
@@ -544,11 +544,11 @@
         ask: &ask::Ask,
         order: &[usize],
         now: instant::Instant,
-    ) -> Found {
-        let mut found = Found::default();
-        let mut own: Option<Choice> = None;
-        let mut spare: Option<Choice> = None;
-        let mut last: Option<Choice> = None;
+    ) -> choice::Found {
+        let mut found = choice::Found::default();
+        let mut own: Option<choice::Choice> = None;
+        let mut spare: Option<choice::Choice> = None;
+        let mut last: Option<choice::Choice> = None;
         let pace = pool.pace(&ask.route.name);
         let patience = pool.patience.get(&ask.rank()).copied();
         let known = pace.work(pace::Warmth::Known, ask.route.objective);
@@ -561,7 +561,7 @@
             let work = pace.work(warmth, ask.route.objective);
             let way = self.way(&seat.target.zone);
             let expected = way + wait + work;
-            let choice = Choice {
+            let choice = choice::Choice {
                 position,
                 order: place,
                 warmth,
@@ -599,7 +599,7 @@
             let is_better = spare.is_none_or(|best| reckoned < best.expected);
             let busy = if place == 0 { 1.0 } else { SPARE_PART };
             if seat.has_free_part(busy, now) && is_better {
-                spare = Some(Choice {
+                spare = Some(choice::Choice {
                     expected: reckoned,
                     ..choice
                 });
@@ -725,7 +725,7 @@
                 supply.demand += slots * EVEN_DEMAND * self.layout.part(region);
             }
             pool.plan.adjust(&own, &supply, now);
-            pool.patience = patience(self.rules.as_deref(), service, pool);
+            pool.patience = patience::of_ranks(self.rules.as_deref(), service, pool);
         }
     }
 }
@@ -733,49 +733,6 @@
 /// Silence of a host after which its demand counts no more.
 const QUOTA_SILENCE: time::Duration = time::Duration::from_secs(5);
 
-/// A target that a request could go to.
-#[derive(Clone, Copy, Debug)]
-struct Choice {
-    position: usize,
-    order: usize,
-    warmth: pace::Warmth,
-    expected: time::Duration,
-}
-
-/// What a search for a target found.
-#[derive(Clone, Copy, Debug, Default)]
-struct Found {
-    choice: Option<Choice>,
-    is_any_usable: bool,
-}
-
-/// Returns the longest wait that requests of each rank may add to.
-///
-/// A less urgent request may fill only a part of the time that the more urgent
-/// ones of the service can spare.
-fn patience(
-    rules: Option<&rules::Rules>,
-    service: &name::Service,
-    pool: &pool::Pool,
-) -> collections::BTreeMap<u8, time::Duration> {
-    let mut spare: collections::BTreeMap<u8, time::Duration> = collections::BTreeMap::new();
-    let routes = rules.into_iter().flat_map(|rules| rules.routes_to(service));
-    for route in routes {
-        let work = pool
-            .pace(&route.name)
-            .work(pace::Warmth::Known, route.objective);
-        let left = route.objective.saturating_sub(work);
-        let least = spare.entry(route.rank).or_insert(left);
-        *least = (*least).min(left);
-    }
-    let ranks: Vec<u8> = spare.keys().copied().collect();
-    let limits = ranks.iter().filter_map(|rank| {
-        let urgent = spare.range(..rank).map(|(_rank, left)| *left).min()?;
-        Some((*rank, urgent.mul_f64(YIELDED_PART)))
-    });
-    limits.collect()
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     reason = "reports need few digits, which keeps them short"
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod account;
 mod ask;
 mod backlog;
+mod choice;
 mod cold;
 mod desk;
 mod directory;
@@ -16,6 +17,7 @@
 mod meter;
 mod mirror;
 mod pace;
+mod patience;
 mod pick;
 mod plan;
 mod pool;
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -11,7 +11,7 @@
 use super::pipeline;
 use super::state;
 
-/// Idle time of a caller's connection where no rules are known.
+/// Bytes of a caller's connection that are read ahead at least; the library needs 8 KiB.
 const SMALLEST_BUFFER: usize = 16 * 1_024;
 /// Time on top of the longest idle time that callers may use.
 const IDLE_MARGIN: time::Duration = time::Duration::from_secs(1);
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -99,7 +99,7 @@
 /// Writes this host's row, and learns the other hosts' addresses.
 pub(crate) async fn join(state: sync::Arc<state::State>) -> error::Result<()> {
     let table = store::Table::Hosts;
-    let own = state.report(state.clock.now());
+    let own = state.report();
     let row = bincode::serialize(&Row {
         control: own.control,
     })?;
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -282,7 +282,7 @@
     Ok(())
 }
 
-/// Returns the fingerprint of a request, the same for each resend of it.
+/// Returns the fingerprint of a request, the same for each resend of it at hosts of one build.
 fn print(
     parts: &hyper::http::request::Parts,
     account: Option<&traffic::Account>,
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -51,7 +51,7 @@
 
 async fn send(socket: &tokio::net::UdpSocket, state: &state::State) -> error::Result<()> {
     let now = state.clock.now();
-    let mut report = state.report(now);
+    let mut report = state.report();
     state.knowledge().desk_mut().fill(&mut report, now);
     let bytes = bincode::serialize(&report)?;
     let port = state.settings().report_port;
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -123,7 +123,7 @@
     }
 
     /// Returns this host's report without its demand.
-    pub(crate) fn report(&self, _now: instant::Instant) -> traffic::Report {
+    pub(crate) fn report(&self) -> traffic::Report {
         let phase = self.phase();
         let settings = lock(&self.settings);
         traffic::Report {
