Tell other zones through relays, and read the store once in each zone

Cause: on the grown sites each host sent each report to each other host and followed two tables of the store itself. Ruled out: slower reports alone (the bytes grow with the square of the hosts). Change: from 16 hosts on a host tells its own zone only; the first two hosts of a zone add the reports up, exchange the sums with the other zones' relays and pass them on. One host of each zone follows the store, the others ask it for the rows that changed; they follow themselves while it is silent or gets no answers. Within a zone reports still go from each to each.

--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -23,11 +23,13 @@
 use super::plan;
 use super::pool;
 use super::quota;
+use super::quotas;
 use super::repeats;
 use super::report;
 use super::rules;
 use super::seat;
 use super::strays;
+use super::summary;
 use super::suspects;
 use super::target;
 use super::turns;
@@ -87,7 +89,7 @@
     closed: collections::BTreeSet<name::Zone>,
     pools: collections::HashMap<name::Service, pool::Pool>,
     lines: collections::HashMap<name::Service, backlog::Backlog<T>>,
-    quotas: collections::HashMap<name::Account, quota::Quota>,
+    quotas: quotas::Quotas,
     turns: collections::HashMap<String, turns::Turns>,
     ways: collections::HashMap<name::Zone, steer::Mean>,
     fleet: fleet::Fleet,
@@ -108,7 +110,7 @@
             closed: collections::BTreeSet::new(),
             pools: collections::HashMap::new(),
             lines: collections::HashMap::new(),
-            quotas: collections::HashMap::new(),
+            quotas: quotas::Quotas::default(),
             turns: collections::HashMap::new(),
             ways: collections::HashMap::new(),
             fleet: fleet::Fleet::default(),
@@ -165,7 +167,7 @@
         }
         self.pools
             .retain(|service, _pool| rules.services.contains_key(service));
-        self.set_quotas(&rules, now);
+        self.quotas.set_rules(&rules, self.crowd(now), now);
         self.rules = Some(rules);
         self.refresh(now);
         true
@@ -209,27 +211,42 @@
 
     /// Takes in another host's report.
     pub fn hear(&mut self, report: report::Report, now: instant::Instant) -> fleet::News {
-        for (print, target) in &report.deaths {
+        self.hear_deaths(&report.deaths, now);
+        self.fleet.hear(report, now)
+    }
+
+    /// Takes in what a relay tells of its zone; returns the hosts of which that is news.
+    pub fn hear_summary(
+        &mut self,
+        summary: summary::Summary,
+        now: instant::Instant,
+    ) -> Vec<(report::Member, fleet::News)> {
+        self.hear_deaths(&summary.deaths, now);
+        self.fleet.hear_summary(summary, now)
+    }
+
+    fn hear_deaths(&mut self, deaths: &[(u64, name::Target)], now: instant::Instant) {
+        for (print, target) in deaths {
             self.suspects.add(*print, target, now);
         }
-        self.fleet.hear(report, now)
     }
 
-    /// Puts this host's demand and its requests at targets into its report.
-    pub fn fill(&mut self, report: &mut report::Report, now: instant::Instant) {
-        let quotas = self.quotas.iter_mut();
-        report.accounts = quotas
-            .map(|(account, quota)| (account.clone(), narrow(quota.report(now))))
-            .collect();
+    /// Returns this host's report to the others.
+    pub fn report(&mut self, member: report::Member, now: instant::Instant) -> report::Report {
         let pools = self.pools.iter_mut();
-        report.services = pools
-            .map(|(service, pool)| {
-                pool.reported = pool.demand.rate(now);
-                (service.clone(), narrow(pool.reported))
-            })
-            .collect();
-        report.loads = self.loads();
-        report.deaths = self.suspects.recent(now);
+        let services = pools.map(|(service, pool)| {
+            pool.reported = pool.demand.rate(now);
+            (hash::digest(service.as_str()), narrow(pool.reported))
+        });
+        report::Report {
+            member,
+            demand: report::Demand {
+                services: services.collect(),
+                accounts: self.quotas.report(now),
+                loads: self.loads(),
+            },
+            deaths: self.suspects.recent(now),
+        }
     }
 
     fn loads(&self) -> Vec<(u32, u16)> {
@@ -244,8 +261,11 @@
 
     fn take_loads(&mut self, now: instant::Instant) {
         let mut loads: collections::HashMap<u32, f64> = collections::HashMap::new();
-        for report in self.fleet.live(now) {
-            for (target, requests) in &report.loads {
+        let told = self
+            .fleet
+            .demands(&self.identity.zone, fleet::Fleet::SILENCE, now);
+        for (_zone, demand) in told {
+            for (target, requests) in &demand.loads {
                 *loads.entry(*target).or_default() += f64::from(*requests);
             }
         }
@@ -260,11 +280,8 @@
     pub fn refresh(&mut self, now: instant::Instant) {
         self.fleet.expire(now);
         let hosts = self.host_count(now);
-        let mut others = self.others(now);
-        let idle = self.fleet_of(hosts, now);
-        for (account, quota) in &mut self.quotas {
-            quota.divide(others.remove(account).unwrap_or(idle), now);
-        }
+        self.quotas
+            .divide(&self.identity.zone, &self.fleet, self.crowd(now), now);
         self.take_loads(now);
         self.set_cold_rates(now);
         self.set_plans(now);
@@ -302,17 +319,12 @@
         account: &account::Account,
         now: instant::Instant,
     ) -> Result<(), time::Duration> {
-        match self.quotas.get_mut(&account.name) {
-            Some(quota) => quota.take(now),
-            None => Ok(()),
-        }
+        self.quotas.take(&account.name, now)
     }
 
     /// Takes back the charge of a request that did not run.
     pub fn refund(&mut self, account: &account::Account) {
-        if let Some(quota) = self.quotas.get_mut(&account.name) {
-            quota.refund();
-        }
+        self.quotas.refund(&account.name);
     }
 
     /// Counts a request that is to be placed for the first time.
@@ -622,7 +634,9 @@
         u32::try_from(others).map_or(u32::MAX, |others| others.saturating_add(1))
     }
 
-    fn fleet_of(&self, hosts: u32, now: instant::Instant) -> quota::Others {
+    /// Returns the other hosts, without their demand.
+    fn crowd(&self, now: instant::Instant) -> quota::Others {
+        let hosts = self.host_count(now);
         let live = u32::try_from(self.fleet.live(now).count()).unwrap_or(u32::MAX);
         quota::Others {
             demand: 0.0,
@@ -631,41 +645,9 @@
         }
     }
 
-    fn others(&self, now: instant::Instant) -> collections::HashMap<name::Account, quota::Others> {
-        let base = self.fleet_of(self.host_count(now), now);
-        let mut all: collections::HashMap<name::Account, quota::Others> =
-            collections::HashMap::new();
-        for (report, silence) in self.fleet.known(now) {
-            if silence >= QUOTA_SILENCE {
-                continue;
-            }
-            for (account, demand) in &report.accounts {
-                let others = all.entry(account.clone()).or_insert(base);
-                others.demand += f64::from(*demand);
-            }
-        }
-        all
-    }
-
-    fn set_quotas(&mut self, rules: &rules::Rules, now: instant::Instant) {
-        let base = self.fleet_of(self.host_count(now), now);
-        let mut before = std::mem::take(&mut self.quotas);
-        let limited = rules.accounts.iter().filter_map(|a| Some((a, a.share?)));
-        for (account, share) in limited {
-            let quota = match before.remove(&account.name) {
-                Some(mut quota) => {
-                    quota.resize(share, base, now);
-                    quota
-                }
-                None => quota::Quota::new(share, base, now),
-            };
-            self.quotas.insert(account.name.clone(), quota);
-        }
-    }
-
     fn set_cold_rates(&mut self, now: instant::Instant) {
         let own = &self.identity;
-        let live: Vec<&report::Report> = self.fleet.live(now).collect();
+        let live: Vec<&report::Member> = self.fleet.live(now).collect();
         let layout = &self.layout;
         for pool in self.pools.values_mut() {
             let Some(allowed) = pool.terms.cold_rate else {
@@ -676,14 +658,14 @@
                 let region = layout.region(&seat.target.zone);
                 let near = live
                     .iter()
-                    .filter(|r| layout.region(&r.zone) == region)
-                    .map(|r| r.host.as_str());
+                    .filter(|member| layout.region(&member.zone) == region)
+                    .map(|member| member.host.as_str());
                 let mut hosts: Vec<&str> = near.collect();
                 if region == Some(&own.region) {
                     hosts.push(own.host.as_str());
                 }
                 if hosts.is_empty() {
-                    hosts = live.iter().map(|r| r.host.as_str()).collect();
+                    hosts = live.iter().map(|member| member.host.as_str()).collect();
                     hosts.push(own.host.as_str());
                 }
                 let rate = cold::rate(seat.target.id.as_str(), &hosts, own.host.as_str(), allowed);
@@ -710,9 +692,13 @@
                 }
             }
             let own = self.identity.region.clone();
-            let told = self.fleet.live(now).flat_map(|report| {
-                let region = self.layout.region(&report.zone);
-                let of_service = report.services.iter().filter(|(name, _d)| name == service);
+            let digest = hash::digest(service.as_str());
+            let told = self
+                .fleet
+                .demands(&self.identity.zone, fleet::Fleet::RELAYED_SILENCE, now);
+            let told = told.flat_map(|(zone, demand)| {
+                let region = self.layout.region(zone);
+                let of_service = demand.services.iter().filter(|(name, _d)| *name == digest);
                 of_service.map(move |(_name, demand)| (region, f64::from(*demand)))
             });
             for (region, demand) in told.chain([(Some(&own), pool.reported)]) {
@@ -730,13 +716,10 @@
     }
 }
 
-/// Silence of a host after which its demand counts no more.
-const QUOTA_SILENCE: time::Duration = time::Duration::from_secs(5);
-
 #[expect(
     clippy::cast_possible_truncation,
     reason = "reports need few digits, which keeps them short"
 )]
-const fn narrow(figure: f64) -> f32 {
+pub(super) const fn narrow(figure: f64) -> f32 {
     figure as f32
 }
--- a/crates/core/src/traffic/directory.rs
+++ b/crates/core/src/traffic/directory.rs
@@ -15,16 +15,16 @@
 /// Chooses the hosts for a caller: those of its availability zone, else of its region, else all.
 #[must_use]
 pub fn choose<'a>(
-    hosts: impl Iterator<Item = &'a report::Report>,
+    hosts: impl Iterator<Item = &'a report::Member>,
     layout: &layout::Layout,
     zone: Option<&name::Zone>,
     region: Option<&name::Region>,
 ) -> Vec<net::SocketAddr> {
-    let ready: Vec<&report::Report> = hosts
-        .filter(|report| report.phase == report::Phase::Ready)
+    let ready: Vec<&report::Member> = hosts
+        .filter(|member| member.phase == report::Phase::Ready)
         .collect();
-    let in_zone = |report: &&&report::Report| Some(&report.zone) == zone;
-    let in_region = |report: &&&report::Report| layout.region(&report.zone) == region;
+    let in_zone = |member: &&&report::Member| Some(&member.zone) == zone;
+    let in_region = |member: &&&report::Member| layout.region(&member.zone) == region;
     let near: Vec<_> = ready.iter().filter(in_zone).collect();
     let wide: Vec<_> = ready.iter().filter(in_region).collect();
     let chosen = match (near.len(), wide.len()) {
@@ -32,6 +32,6 @@
         (_, 1..) => wide,
         _ => ready.iter().collect(),
     };
-    let addresses = chosen.iter().map(|report| report.callers);
+    let addresses = chosen.iter().map(|member| member.callers);
     addresses.take(MOST_HOSTS).collect()
 }
--- a/crates/core/src/traffic/mirror.rs
+++ b/crates/core/src/traffic/mirror.rs
@@ -2,6 +2,9 @@
 
 use std::collections;
 
+/// Removed rows that are remembered at most, for hosts that ask what changed.
+const MOST_REMOVED: usize = 1_024;
+
 /// A row of a table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -21,7 +24,23 @@
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     version: u64,
+    /// Version of the newest change that is known.
+    changed: u64,
     rows: collections::BTreeMap<String, Row>,
+    /// Version up to which each removed row is known to be gone.
+    removed: collections::BTreeMap<String, u64>,
+    /// Version from which on every removal is remembered.
+    horizon: u64,
+}
+
+/// What a copy has that an older one lacks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum Changes {
+    /// The rows that changed since, those that were removed without a value.
+    Since(Vec<Row>),
+    /// Every row, as older removals are not remembered.
+    Whole(Vec<Row>),
 }
 
 impl Mirror {
@@ -31,11 +50,33 @@
         self.version
     }
 
+    /// Returns the version of the newest change that is known, which other hosts need as well.
+    #[must_use]
+    pub const fn changed(&self) -> u64 {
+        self.changed
+    }
+
     /// Returns the rows in order of their keys.
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
         self.rows.values()
     }
 
+    /// Returns what changed after a version of this table.
+    #[must_use]
+    pub fn changes(&self, after: u64) -> Changes {
+        if after == 0 || after < self.horizon {
+            return Changes::Whole(self.rows.values().cloned().collect());
+        }
+        let changed = self.rows.values().filter(|row| row.version > after);
+        let removed = self.removed.iter().filter(|(_key, at)| **at > after);
+        let removed = removed.map(|(key, at)| Row {
+            key: key.clone(),
+            version: *at,
+            value: None,
+        });
+        Changes::Since(changed.cloned().chain(removed).collect())
+    }
+
     /// Takes in changes up to a version; returns those that are news.
     pub fn change(&mut self, rows: Vec<Row>, version: u64) -> Vec<Row> {
         let news: Vec<Row> = rows
@@ -49,6 +90,10 @@
                 self.rows.remove(&row.key);
             }
         }
+        self.note(&news);
+        if self.version == 0 {
+            self.horizon = version;
+        }
         self.version = self.version.max(version);
         news
     }
@@ -69,8 +114,32 @@
         let known =
             |row: &&Row| self.rows.get(&row.key).map(|old| old.version) != Some(row.version);
         let news: Vec<Row> = gone.chain(fresh.values().filter(known).cloned()).collect();
+        self.note(&news);
         self.rows = fresh;
+        if self.version == 0 {
+            self.horizon = version;
+        }
         self.version = version;
         news
     }
+
+    /// Remembers which rows were removed, and forgets the oldest removals beyond the bound.
+    fn note(&mut self, news: &[Row]) {
+        for row in news {
+            self.changed = self.changed.max(row.version);
+            if row.value.is_some() {
+                self.removed.remove(&row.key);
+            } else {
+                self.removed.insert(row.key.clone(), row.version);
+            }
+        }
+        while self.removed.len() > MOST_REMOVED {
+            let oldest = self.removed.iter().min_by_key(|(_key, at)| **at);
+            let Some((key, at)) = oldest.map(|(key, at)| (key.clone(), *at)) else {
+                return;
+            };
+            self.removed.remove(&key);
+            self.horizon = self.horizon.max(at);
+        }
+    }
 }
--- a/crates/core/src/traffic/report.rs
+++ b/crates/core/src/traffic/report.rs
@@ -16,20 +16,39 @@
     Leaving,
 }
 
-/// How new a host's knowledge is, by the store's own count.
+/// Versions of the store, by kind of rows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Versions {
-    /// Newest change of the operator's rows.
+    /// Of the operator's rows.
     pub orders: u64,
-    /// Newest change of the targets' rows.
+    /// Of the targets' rows.
     pub targets: u64,
 }
 
-/// A host's report to the others.
-#[derive(Clone, Debug, PartialEq)]
+impl Versions {
+    /// Returns whether any part is newer than another host's.
+    #[must_use]
+    pub const fn is_newer(self, other: Self) -> bool {
+        self.orders > other.orders || self.targets > other.targets
+    }
+}
+
+/// Whether a host gets answers of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct Report {
+pub enum StoreAccess {
+    /// Its last calls were answered, or it made none.
+    #[default]
+    Reached,
+    /// Its last call failed.
+    Lost,
+}
+
+/// An entry host as it describes itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Member {
     /// The host.
     pub host: name::Host,
     /// Number that differs between two lives of its process.
@@ -42,14 +61,32 @@
     pub control: net::SocketAddr,
     /// What it does for callers.
     pub phase: Phase,
-    /// How new its knowledge is.
+    /// Newest changes that it knows.
     pub versions: Versions,
+    /// Whether it gets answers of the store.
+    pub store: StoreAccess,
+}
+
+/// What the callers of one or several hosts ask for; names stand as digests.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Demand {
     /// Requests a second of each client account that has a share.
-    pub accounts: Vec<(name::Account, f32)>,
-    /// Slots that its callers' requests keep busy, by service.
-    pub services: Vec<(name::Service, f32)>,
-    /// Requests of this host at targets, by the targets' digests.
+    pub accounts: Vec<(u32, f32)>,
+    /// Slots that the callers' requests keep busy, by service.
+    pub services: Vec<(u32, f32)>,
+    /// Requests at targets.
     pub loads: Vec<(u32, u16)>,
+}
+
+/// A host's report to the others.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Report {
+    /// The host.
+    pub member: Member,
+    /// What its callers ask for.
+    pub demand: Demand,
     /// Fingerprints of requests under which targets crashed lately.
     pub deaths: Vec<(u64, name::Target)>,
 }
--- a/crates/core/tests/traffic/common.rs
+++ b/crates/core/tests/traffic/common.rs
@@ -131,16 +131,17 @@
 
 pub(crate) fn report(host: &str, in_zone: &str, life: u64) -> traffic::Report {
     traffic::Report {
-        host: name::Host::new(host).expect("host"),
-        life,
-        zone: zone(in_zone),
-        callers: "127.0.0.1:2".parse().expect("address"),
-        control: "127.0.0.1:3".parse().expect("address"),
-        phase: traffic::Phase::Ready,
-        versions: traffic::Versions::default(),
-        accounts: Vec::new(),
-        services: Vec::new(),
-        loads: Vec::new(),
+        member: traffic::Member {
+            host: name::Host::new(host).expect("host"),
+            life,
+            zone: zone(in_zone),
+            callers: "127.0.0.1:2".parse().expect("address"),
+            control: "127.0.0.1:3".parse().expect("address"),
+            phase: traffic::Phase::Ready,
+            versions: traffic::Versions::default(),
+            store: traffic::StoreAccess::Reached,
+        },
+        demand: traffic::Demand::default(),
         deaths: Vec::new(),
     }
 }
--- a/crates/core/tests/traffic/knowledge.rs
+++ b/crates/core/tests/traffic/knowledge.rs
@@ -180,7 +180,7 @@
     fleet.hear(common::report("h4", "b1", 1), common::at(1_900));
     assert_eq!(named(&fleet, 2_000, "a1"), 1);
     let mut leaving = common::report("h4", "b1", 1);
-    leaving.phase = traffic::Phase::Leaving;
+    leaving.member.phase = traffic::Phase::Leaving;
     fleet.hear(leaving, common::at(2_000));
     assert_eq!(named(&fleet, 2_100, "a1"), 0);
 }
@@ -198,12 +198,12 @@
         traffic::News::Same
     );
     let mut other = report.clone();
-    other.life = 2;
+    other.member.life = 2;
     assert_eq!(fleet.hear(other, common::at(200)), traffic::News::Changed);
     assert!(fleet.expire(common::at(20_000)).is_empty());
     let gone =
         fleet.expire(common::at(200) + traffic::Fleet::FORGOTTEN + time::Duration::from_millis(1));
-    assert_eq!(gone, [report.host]);
+    assert_eq!(gone, [report.member.host]);
 }
 
 /// Objects spread over targets by their slots.
--- a/crates/core/tests/traffic/main.rs
+++ b/crates/core/tests/traffic/main.rs
@@ -5,4 +5,5 @@
 mod common;
 mod knowledge;
 mod placement;
+mod relays;
 mod waiting;
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -22,6 +22,8 @@
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Longest pause between failed calls, well inside the time in which changes must be in force.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Pause between two looks at whether this host's turn to follow has come.
+const LOOK: time::Duration = time::Duration::from_millis(100);
 /// Pause between the changes of one table, in which several are taken at once.
 const GATHER: time::Duration = time::Duration::from_millis(60);
 
@@ -30,6 +32,11 @@
     let mut pause = FIRST_PAUSE;
     let mut is_whole = false;
     loop {
+        if !follows(&state) {
+            is_whole = false;
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
         let address = state.settings().store;
         let after = state.knowledge().mirror(table).version();
         state.metrics.call();
@@ -65,6 +72,12 @@
     }
 }
 
+/// Decides whether this host follows the store now.
+fn follows(state: &state::State) -> bool {
+    let now = state.clock.now();
+    state.knowledge().decide_following(&state.identity, now)
+}
+
 /// Returns the time for which this host's feeds wait.
 fn wait(state: &state::State) -> time::Duration {
     let now = state.clock.now();
@@ -86,7 +99,7 @@
     let mut known = state.knowledge();
     known.reach(table, true, now);
     let is_news = if is_change {
-        known.change(table, rows, now)
+        known.change(table, rows, knowledge::Source::Store, now)
     } else {
         known.replace(table, rows, knowledge::Source::Store, now)
     };
@@ -99,7 +112,7 @@
 /// Writes this host's row, and learns the other hosts' addresses.
 pub(crate) async fn join(state: sync::Arc<state::State>) -> error::Result<()> {
     let table = store::Table::Hosts;
-    let own = state.report();
+    let own = state.member();
     let row = bincode::serialize(&Row {
         control: own.control,
     })?;
@@ -128,7 +141,7 @@
 async fn exchange(
     state: &state::State,
     address: std::net::SocketAddr,
-    own: &traffic::Report,
+    own: &traffic::Member,
     row: &[u8],
 ) -> skylark_platform::Result<()> {
     let table = store::Table::Hosts;
--- a/crates/host/src/knowledge.rs
+++ b/crates/host/src/knowledge.rs
@@ -30,6 +30,7 @@
     registry: traffic::Registry,
     lost: collections::HashSet<store::Table>,
     was_whole: bool,
+    following: bool,
 }
 
 impl Knowledge {
@@ -42,6 +43,7 @@
             registry: traffic::Registry::default(),
             lost: collections::HashSet::new(),
             was_whole: false,
+            following: true,
         }
     }
 
@@ -63,7 +65,7 @@
         }
     }
 
-    /// Returns how new the copies are.
+    /// Returns the versions up to which the copies are whole.
     pub(crate) const fn versions(&self) -> traffic::Versions {
         traffic::Versions {
             orders: self.orders.version(),
@@ -71,6 +73,49 @@
         }
     }
 
+    /// Returns the newest changes that the copies hold, for the other hosts.
+    pub(crate) const fn changed(&self) -> traffic::Versions {
+        traffic::Versions {
+            orders: self.orders.changed(),
+            targets: self.targets.changed(),
+        }
+    }
+
+    /// Returns whether this host follows the store's tables itself.
+    pub(crate) const fn is_following(&self) -> bool {
+        self.following
+    }
+
+    /// Decides whether this host follows the store's tables, or hears of changes from its zone.
+    ///
+    /// One host of a zone follows; the others do as well while that one is silent
+    /// or gets no answers.
+    pub(crate) fn decide_following(
+        &mut self,
+        identity: &traffic::Identity,
+        now: instant::Instant,
+    ) -> bool {
+        let fleet = self.desk.fleet();
+        let follows = !self.was_whole || !fleet.has_reader(&identity.zone, &identity.host, now);
+        if follows != self.following {
+            self.following = follows;
+            // What this host could not reach is no matter while another one reads for it.
+            self.lost.clear();
+            self.registry.reach(true, now);
+            log::info!(follows; "this host's turn to follow the store changed");
+        }
+        follows
+    }
+
+    /// Returns whether the store answered the last call for each table.
+    pub(crate) fn store_access(&self) -> traffic::StoreAccess {
+        if self.lost.is_empty() {
+            traffic::StoreAccess::Reached
+        } else {
+            traffic::StoreAccess::Lost
+        }
+    }
+
     /// Returns whether rules and targets are known; at first also that no other host knows newer ones.
     pub(crate) fn is_whole(&mut self, now: instant::Instant) -> bool {
         if self.desk.rules().is_none() || self.targets.version() == 0 {
@@ -78,7 +123,7 @@
         }
         let own = self.orders.version();
         let mut others = self.desk.fleet().live(now);
-        self.was_whole = self.was_whole || others.all(|r| r.versions.orders <= own);
+        self.was_whole = self.was_whole || others.all(|member| member.versions.orders <= own);
         self.was_whole
     }
 
@@ -104,6 +149,7 @@
         &mut self,
         table: store::Table,
         rows: store::Rows,
+        source: Source<'_>,
         now: instant::Instant,
     ) -> bool {
         let news = match table {
@@ -111,7 +157,7 @@
             store::Table::Targets => self.targets.change(rows.rows, rows.version),
             store::Table::Hosts => Vec::new(),
         };
-        self.take(table, &news, Source::Store, now)
+        self.take(table, &news, source, now)
     }
 
     /// Takes in a whole copy of a table; returns whether there was any news.
--- a/crates/host/src/lookups.rs
+++ b/crates/host/src/lookups.rs
@@ -27,7 +27,7 @@
     }
     let caller = directory::read_query(uri.query().unwrap_or_default());
     let now = state.clock.now();
-    let own = state.report();
+    let own = state.member();
     let known = state.knowledge();
     let desk = known.desk();
     let hosts = desk.fleet().live(now).chain(std::iter::once(&own));
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -20,12 +20,16 @@
 const PATH: &str = "/knowledge";
 /// Time that an answer of another host may take.
 const CALL_TIME: time::Duration = time::Duration::from_secs(1);
-/// Pause between two questions.
-const PAUSE: time::Duration = time::Duration::from_millis(300);
-/// Time for which a host that is not heard is told every report.
+/// Pause after an answer, in which several changes gather.
+const PAUSE: time::Duration = time::Duration::from_millis(60);
+/// Pause after a question without an answer.
+const FAILED_PAUSE: time::Duration = time::Duration::from_millis(300);
+/// Time for which a host that is not heard is told often.
 const TOLD_FOR: time::Duration = time::Duration::from_secs(30);
 /// Time between reports to a host that is not heard any more.
 const SLOW_GAP: time::Duration = time::Duration::from_secs(5);
+/// Time between reports to a host of another zone that is not heard for the moment.
+const LOST_GAP: time::Duration = time::Duration::from_secs(1);
 
 /// Control addresses of the other hosts.
 #[derive(Debug)]
@@ -35,8 +39,10 @@
     known: sync::Mutex<collections::BTreeMap<net::SocketAddr, Contact>>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Contact {
+    /// Its availability zone, none before it was heard.
+    zone: Option<name::Zone>,
     heard: Option<instant::Instant>,
     told: Option<instant::Instant>,
     added: Option<instant::Instant>,
@@ -61,23 +67,44 @@
         }
     }
 
-    /// Notes that a host was heard.
-    pub(crate) fn heard(&self, address: net::SocketAddr, now: instant::Instant) {
-        self.add(address);
-        if let Some(contact) = self.lock().get_mut(&address) {
-            contact.heard = Some(now);
+    /// Notes that a host was heard, from itself or through a relay.
+    pub(crate) fn heard(&self, member: &traffic::Member, now: instant::Instant) {
+        if member.control == self.own {
+            return;
+        }
+        let mut known = self.lock();
+        let contact = known.entry(member.control).or_default();
+        contact.heard = Some(now);
+        if contact.zone.as_ref() != Some(&member.zone) {
+            contact.zone = Some(member.zone.clone());
         }
     }
 
-    /// Returns the addresses that are to be told now, those not heard less often.
-    pub(crate) fn due(&self, now: instant::Instant) -> Vec<net::SocketAddr> {
+    /// Returns the addresses that are to be told a report now.
+    ///
+    /// Hosts of zones that are not `near` hear of this one through relays, but
+    /// for those that are not heard; hosts not heard for long are told seldom.
+    pub(crate) fn due(
+        &self,
+        near: impl Fn(&name::Zone) -> bool,
+        now: instant::Instant,
+    ) -> Vec<net::SocketAddr> {
         let mut due = Vec::new();
         for (address, contact) in self.lock().iter_mut() {
             let since = contact.heard.or(contact.added);
             contact.added = contact.added.or(Some(now));
-            let is_near = since.is_none_or(|at| now.since(at) < TOLD_FOR);
-            let is_due = contact.told.is_none_or(|at| now.since(at) >= SLOW_GAP);
-            if is_near || is_due {
+            let silence = since.map_or(time::Duration::ZERO, |at| now.since(at));
+            let is_near = contact.zone.as_ref().is_none_or(&near);
+            let is_heard = contact.heard.is_some() && silence < traffic::Fleet::RELAYED_SILENCE;
+            let gap = match (is_near, is_heard) {
+                _ if silence >= TOLD_FOR => Some(SLOW_GAP),
+                (true, _) => Some(time::Duration::ZERO),
+                (false, true) => None,
+                (false, false) => Some(LOST_GAP),
+            };
+            let told = contact.told;
+            let is_due = gap.is_some_and(|gap| told.is_none_or(|at| now.since(at) >= gap));
+            if is_due {
                 contact.told = Some(now);
                 due.push(*address);
             }
@@ -92,7 +119,7 @@
     }
 }
 
-/// All that a host knows, for another one.
+/// What a host knows that another one lacks.
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Knowledge {
     orders: Copy,
@@ -102,27 +129,18 @@
     hosts: Vec<net::SocketAddr>,
 }
 
-/// A copy of a table.
+/// What a copy of a table has that an older one lacks.
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Copy {
     version: u64,
-    rows: Vec<traffic::Row>,
+    changes: traffic::Changes,
 }
 
-impl From<&traffic::Mirror> for Copy {
-    fn from(mirror: &traffic::Mirror) -> Self {
+impl Copy {
+    fn new(mirror: &traffic::Mirror, after: u64) -> Self {
         Self {
             version: mirror.version(),
-            rows: mirror.rows().cloned().collect(),
-        }
-    }
-}
-
-impl From<Copy> for store::Rows {
-    fn from(copy: Copy) -> Self {
-        Self {
-            rows: copy.rows,
-            version: copy.version,
+            changes: mirror.changes(after),
         }
     }
 }
@@ -135,10 +153,13 @@
     serve::answer(listener, "peers", move |request| {
         let state = sync::Arc::clone(&state);
         async move {
-            if request.uri().path() != PATH {
+            let after = (request.uri().path() == PATH)
+                .then(|| read_versions(request.uri().query().unwrap_or_default()));
+            let Some(after) = after.flatten() else {
+                log::warn!(uri:% = request.uri(); "question of another host refused");
                 return serve::reply(hyper::StatusCode::NOT_FOUND, "text/plain", Vec::new());
-            }
-            match bincode::serialize(&tell(&state)) {
+            };
+            match bincode::serialize(&tell(&state, after)) {
                 Ok(body) => serve::reply(hyper::StatusCode::OK, "application/octet-stream", body),
                 Err(fault) => {
                     log::error!(error:% = fault; "knowledge could not be told");
@@ -151,11 +172,20 @@
     .await
 }
 
-fn tell(state: &state::State) -> Knowledge {
+/// Reads the versions that the asking host has, `ORDERS-TARGETS`.
+fn read_versions(query: &str) -> Option<traffic::Versions> {
+    let (orders, targets) = query.split_once('-')?;
+    Some(traffic::Versions {
+        orders: orders.parse().ok()?,
+        targets: targets.parse().ok()?,
+    })
+}
+
+fn tell(state: &state::State, after: traffic::Versions) -> Knowledge {
     let known = state.knowledge();
     Knowledge {
-        orders: known.mirror(store::Table::Orders).into(),
-        targets: known.mirror(store::Table::Targets).into(),
+        orders: Copy::new(known.mirror(store::Table::Orders), after.orders),
+        targets: Copy::new(known.mirror(store::Table::Targets), after.targets),
         kept: known.kept(),
         hosts: state.peers.lock().keys().copied().collect(),
     }
@@ -173,34 +203,47 @@
         }
         turn = turn.wrapping_add(1);
         let source = sources[turn % sources.len()];
-        match ask(&client, source).await {
-            Ok(knowledge) => take(&state, source, knowledge),
-            Err(fault) => log::info!(source:% = source, error:% = fault; "host did not answer"),
+        let after = state.knowledge().versions();
+        match ask(&client, source, after).await {
+            Ok(knowledge) => {
+                take(&state, source, knowledge);
+                tokio::time::sleep(PAUSE).await;
+            }
+            Err(fault) => {
+                log::info!(source:% = source, error:% = fault; "host did not answer");
+                tokio::time::sleep(FAILED_PAUSE).await;
+                state.behind.notify_one();
+            }
         }
-        tokio::time::sleep(PAUSE).await;
     }
 }
 
-/// Returns whom to ask: hosts that know more, or the seeds where none was heard.
+/// Returns whom to ask: hosts that know more, those of the own zone if any, or the seeds
+/// where none was heard.
 fn sources(state: &state::State) -> Vec<net::SocketAddr> {
     let now = state.clock.now();
     let known = state.knowledge();
     let own = known.versions();
-    let live: Vec<&traffic::Report> = known.desk().fleet().live(now).collect();
+    let live: Vec<&traffic::Member> = known.desk().fleet().live(now).collect();
     if live.is_empty() {
         return state.peers.seeds.clone();
     }
-    let newer = live.into_iter().filter(|report| {
-        report.versions.orders > own.orders || report.versions.targets > own.targets
-    });
-    newer.map(|report| report.control).collect()
+    let newer = live
+        .into_iter()
+        .filter(|member| member.versions.is_newer(own));
+    let (near, far): (Vec<&traffic::Member>, Vec<&traffic::Member>) =
+        newer.partition(|member| member.zone == state.identity.zone);
+    let chosen = if near.is_empty() { far } else { near };
+    chosen.into_iter().map(|member| member.control).collect()
 }
 
 async fn ask(
     client: &http::Client,
     source: net::SocketAddr,
+    after: traffic::Versions,
 ) -> Result<Knowledge, Box<dyn std::error::Error + Send + Sync>> {
-    let url = format!("http://{source}{PATH}");
+    let (orders, targets) = (after.orders, after.targets);
+    let url = format!("http://{source}{PATH}?{orders}-{targets}");
     let reply = client.send("GET", &url, Vec::new()).await?;
     Ok(bincode::deserialize(&reply.body)?)
 }
@@ -218,10 +261,18 @@
     ];
     for (table, copy) in tables {
         let (version, own) = (copy.version, known.mirror(table).version());
-        if version > own {
-            known.replace(table, copy.into(), origin, now);
-            log::info!(table = table.as_str(), version, before = own, source:% = source; "learned from another host");
+        if version <= own {
+            continue;
+        }
+        match copy.changes {
+            traffic::Changes::Since(rows) => {
+                known.change(table, store::Rows { rows, version }, origin, now);
+            }
+            traffic::Changes::Whole(rows) => {
+                known.replace(table, store::Rows { rows, version }, origin, now);
+            }
         }
+        log::info!(table = table.as_str(), version, before = own, source:% = source; "learned from another host");
     }
     drop(known);
     state.news.notify_one();
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -1,43 +1,74 @@
-//! Reports between hosts, in one datagram each.
+//! Messages between hosts, in one datagram each.
+//!
+//! A small fleet sends each report to each host. In a larger one a host tells
+//! its own availability zone only; the zone's relays add the reports up, send
+//! the sums to the other zones' relays, and pass on what they get from them.
 
+use std::collections;
 use std::net;
 use std::sync;
 use std::time;
 
+use bincode::Options as _;
+use skylark_core::instant;
+use skylark_core::name;
 use skylark_core::traffic;
 
 use super::error;
 use super::state;
 
-/// Time between two looks at shares and plans.
-const REFRESH: time::Duration = time::Duration::from_millis(250);
-/// Refreshes between two reports.
-const REPORT_EVERY: u32 = 1;
+/// Time between two reports, and between two looks at shares and plans.
+const ROUND: time::Duration = time::Duration::from_millis(250);
 /// Shortest time between two reports, when there is news.
 const SHORTEST_GAP: time::Duration = time::Duration::from_millis(30);
-/// Refreshes for which another host must know more before it is asked.
+/// Rounds for which another host must know more before it is asked by one that reads the store.
 const BEHIND_FOR: u32 = 2;
-/// Largest report.
-const REPORT_BYTES: usize = 16 * 1_024;
+/// Largest message.
+const MESSAGE_BYTES: usize = 32 * 1_024;
+/// Hosts up to which each one is told every report.
+const SMALL_FLEET: usize = 16;
+/// Time without what the first relay passes on, after which the second one does.
+const PASSING_SILENCE: time::Duration = time::Duration::from_millis(800);
+
+/// A message between hosts.
+#[derive(Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
+enum Message {
+    /// A host's own report.
+    Report(traffic::Report),
+    /// A relay's sum of its zone, for relays of other zones.
+    Summary(traffic::Summary),
+    /// Another zone's sum, passed on by a relay to its own zone.
+    Passed(traffic::Summary),
+}
+
+/// When another relay last passed on each zone's sum.
+#[derive(Debug, Default)]
+pub(crate) struct Passing {
+    heard: collections::HashMap<name::Zone, instant::Instant>,
+}
 
 /// Tells the other hosts what this one does, until the task is dropped.
 pub(crate) async fn tell(
     socket: sync::Arc<tokio::net::UdpSocket>,
     state: sync::Arc<state::State>,
 ) -> error::Result<()> {
-    let mut refreshes = 0_u32;
+    let mut round = 0_u32;
     let mut behind = 0_u32;
     loop {
         let is_news = tokio::select! {
-            () = tokio::time::sleep(REFRESH) => false,
+            () = tokio::time::sleep(ROUND) => false,
             () = state.news.notified() => true,
         };
         let now = state.clock.now();
         state.connections.expire(now);
-        refreshes = refreshes.wrapping_add(1);
-        if is_news || refreshes.is_multiple_of(REPORT_EVERY) {
-            send(&socket, &state).await?;
-        }
+        round = round.wrapping_add(1);
+        let cadence = if is_news {
+            traffic::Cadence::News
+        } else {
+            traffic::Cadence::Round(round)
+        };
+        send(&socket, &state, cadence).await?;
         state.knowledge().refresh(now);
         behind = if is_behind(&state) { behind + 1 } else { 0 };
         if behind >= BEHIND_FOR {
@@ -49,13 +80,53 @@
     }
 }
 
-async fn send(socket: &tokio::net::UdpSocket, state: &state::State) -> error::Result<()> {
+async fn send(
+    socket: &tokio::net::UdpSocket,
+    state: &state::State,
+    cadence: traffic::Cadence,
+) -> error::Result<()> {
     let now = state.clock.now();
-    let mut report = state.report();
-    state.knowledge().desk_mut().fill(&mut report, now);
-    let bytes = bincode::serialize(&report)?;
+    let member = state.member();
+    let (report, direct, relays, summary) = {
+        let mut known = state.knowledge();
+        let report = known.desk_mut().report(member, now);
+        let fleet = known.desk().fleet();
+        let is_small = fleet.known(now).count() < SMALL_FLEET;
+        let zone = &state.identity.zone;
+        let near = |other: &name::Zone| is_small || other == zone;
+        let direct = state.peers.due(near, now);
+        let place = fleet.place_in(zone, &state.identity.host, now);
+        let layout = known.desk().layout();
+        let relays: Vec<net::SocketAddr> = if is_small {
+            Vec::new()
+        } else {
+            let all = fleet.relays(zone, now).into_iter();
+            let due = all.filter(|relay| {
+                let is_near = layout.region(&relay.zone) == Some(&state.identity.region);
+                cadence.is_due(place, is_near)
+            });
+            due.map(|relay| relay.control).collect()
+        };
+        let summary = (!relays.is_empty()).then(|| fleet.summarize(&report, now));
+        (report, direct, relays, summary)
+    };
+    post(socket, state, &Message::Report(report), &direct).await?;
+    if let Some(summary) = summary {
+        post(socket, state, &Message::Summary(summary), &relays).await?;
+    }
+    Ok(())
+}
+
+/// Sends one message to the hosts with these control addresses.
+async fn post(
+    socket: &tokio::net::UdpSocket,
+    state: &state::State,
+    message: &Message,
+    hosts: &[net::SocketAddr],
+) -> error::Result<()> {
+    let bytes = bincode::DefaultOptions::new().serialize(message)?;
     let port = state.settings().report_port;
-    for control in state.peers.due(now) {
+    for control in hosts {
         let address = net::SocketAddr::new(control.ip(), port);
         if let Err(fault) = socket.send_to(&bytes, address).await {
             log::debug!(address:% = address, error:% = fault; "report not sent");
@@ -68,38 +139,100 @@
     let now = state.clock.now();
     let known = state.knowledge();
     let own = known.versions();
-    let is_newer = |versions: traffic::Versions| {
-        versions.orders > own.orders || versions.targets > own.targets
-    };
     let mut others = known.desk().fleet().live(now);
-    own.orders == 0 || own.targets == 0 || others.any(|report| is_newer(report.versions))
+    let is_empty = own.orders == 0 || own.targets == 0;
+    is_empty || others.any(|member| member.versions.is_newer(own))
 }
 
-/// Takes in the other hosts' reports, until the task is dropped.
+/// Takes in the other hosts' messages, until the task is dropped.
 pub(crate) async fn hear(
     socket: sync::Arc<tokio::net::UdpSocket>,
     state: sync::Arc<state::State>,
 ) -> error::Result<()> {
-    let mut buffer = vec![0; REPORT_BYTES];
+    let mut buffer = vec![0; MESSAGE_BYTES];
+    let mut passing = Passing::default();
     loop {
         let (length, from) = socket.recv_from(&mut buffer).await?;
-        let report: traffic::Report = match bincode::deserialize(&buffer[..length]) {
-            Ok(report) => report,
+        let message = match bincode::DefaultOptions::new().deserialize(&buffer[..length]) {
+            Ok(message) => message,
             Err(fault) => {
                 log::warn!(from:% = from, error:% = fault; "report refused");
                 continue;
             }
         };
         let now = state.clock.now();
-        state.peers.heard(report.control, now);
-        let host = report.host.clone();
-        let (phase, life) = (report.phase, report.life);
-        let news = state.knowledge().desk_mut().hear(report, now);
-        if news != traffic::News::Same {
-            log::info!(host:% = host, phase:? = phase, life, news:? = news; "host heard");
+        match message {
+            Message::Report(report) => {
+                let member = report.member.clone();
+                let news = state.knowledge().desk_mut().hear(report, now);
+                take(&state, &member, news, now);
+            }
+            Message::Summary(summary) => {
+                let is_passed = passing.is_due(&state, &summary.zone, now);
+                let passed = is_passed.then(|| Message::Passed(summary.clone()));
+                take_summary(&state, summary, now);
+                if let Some(passed) = passed {
+                    let mates = zone_mates(&state, now);
+                    post(&socket, &state, &passed, &mates).await?;
+                }
+            }
+            Message::Passed(summary) => {
+                passing.heard.insert(summary.zone.clone(), now);
+                take_summary(&state, summary, now);
+            }
         }
-        if news == traffic::News::Joined {
-            state.news.notify_one();
+    }
+}
+
+impl Passing {
+    /// Returns whether this host is to pass a zone's sum on to its own zone.
+    fn is_due(&self, state: &state::State, zone: &name::Zone, now: instant::Instant) -> bool {
+        let known = state.knowledge();
+        let fleet = known.desk().fleet();
+        if fleet.place_in(&state.identity.zone, &state.identity.host, now) == 0 {
+            return true;
         }
+        let heard = self.heard.get(zone);
+        heard.is_none_or(|at| now.since(*at) >= PASSING_SILENCE)
+    }
+}
+
+fn zone_mates(state: &state::State, now: instant::Instant) -> Vec<net::SocketAddr> {
+    let known = state.knowledge();
+    let live = known.desk().fleet().live(now);
+    let mates = live.filter(|member| member.zone == state.identity.zone);
+    mates.map(|member| member.control).collect()
+}
+
+fn take_summary(state: &state::State, summary: traffic::Summary, now: instant::Instant) {
+    let members: Vec<traffic::Member> = summary.members.iter().map(|(m, _age)| m.clone()).collect();
+    let news = state.knowledge().desk_mut().hear_summary(summary, now);
+    for member in members {
+        let found = news.iter().find(|(other, _news)| other.host == member.host);
+        let news = found.map_or(traffic::News::Same, |(_member, news)| *news);
+        take(state, &member, news, now);
+    }
+}
+
+/// Takes in what changed with a host that was heard.
+fn take(
+    state: &state::State,
+    member: &traffic::Member,
+    news: traffic::News,
+    now: instant::Instant,
+) {
+    state.peers.heard(member, now);
+    if news != traffic::News::Same {
+        log::info!(host:% = member.host, phase:? = member.phase, life = member.life, news:? = news; "host heard");
+    }
+    if news == traffic::News::Joined {
+        state.news.notify_one();
+    }
+    let is_newer = {
+        let known = state.knowledge();
+        !known.is_following() && member.versions.is_newer(known.versions())
+    };
+    if is_newer {
+        state.behind.notify_one();
     }
 }
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -122,22 +122,20 @@
         LOOKUP_TTL.min(lock(&self.settings).ttl)
     }
 
-    /// Returns this host's report without its demand.
-    pub(crate) fn report(&self) -> traffic::Report {
+    /// Returns how this host describes itself to the others.
+    pub(crate) fn member(&self) -> traffic::Member {
         let phase = self.phase();
         let settings = lock(&self.settings);
-        traffic::Report {
+        let known = self.knowledge();
+        traffic::Member {
             host: self.identity.host.clone(),
             life: self.life,
             zone: self.identity.zone.clone(),
             callers: settings.callers,
             control: settings.control,
             phase,
-            versions: self.knowledge().versions(),
-            accounts: Vec::new(),
-            services: Vec::new(),
-            loads: Vec::new(),
-            deaths: Vec::new(),
+            versions: known.changed(),
+            store: known.store_access(),
         }
     }
 }
