--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -1,5 +1,6 @@
 //! The way of one request: rules, account, target, answer.
 
+use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -63,6 +64,8 @@
     rules: u64,
     picks: Vec<traffic::Pick>,
     waited: bool,
+    /// Host that was asked for a token of the account's share.
+    holder: Option<net::SocketAddr>,
 }
 
 /// Counts a request as being served for as long as it lives.
@@ -139,7 +142,7 @@
         target_id = target, order = last.map_or(0, |pick| pick.order),
         warmth:? = last.map(|pick| pick.warmth),
         load = last.map_or(0.0, |pick| pick.load), expected:? = last.map(|pick| pick.expected),
-        sends = story.picks.len(), waited = story.waited, took:? = took;
+        sends = story.picks.len(), waited = story.waited, holder:? = story.holder, took:? = took;
         "request"
     );
 }
@@ -191,7 +194,7 @@
         print,
         tried: Vec::new(),
     };
-    admit(state, &ask).await?;
+    admit(state, &ask, story).await?;
     let message = form(parts, story, &ask);
     let result = attempts(state, &mut ask, &message, &mut content, story).await;
     let has_not_run = matches!(&result, Err(refused) if refused.outcome == kind::Outcome::NotRun);
@@ -258,7 +261,7 @@
 }
 
 /// Takes a request in, or refuses it before any target is looked for.
-async fn admit(state: &state::State, ask: &traffic::Ask) -> Result<(), Refused> {
+async fn admit(state: &state::State, ask: &traffic::Ask, story: &mut Story) -> Result<(), Refused> {
     let now = state.clock.now();
     if let Some(left) = state.left() {
         let end = left + state.settings().grace.saturating_sub(END_MARGIN);
@@ -274,20 +277,27 @@
         ));
     }
     if let Some(account) = &ask.account {
-        charge(state, &account.name).await?;
+        charge(state, &account.name, story).await?;
     }
     state.knowledge().desk_mut().arrive(ask, state.clock.now());
     Ok(())
 }
 
 /// Counts a request against its account's rate.
-async fn charge(state: &state::State, account: &name::Account) -> Result<(), Refused> {
+async fn charge(
+    state: &state::State,
+    account: &name::Account,
+    story: &mut Story,
+) -> Result<(), Refused> {
     let now = state.clock.now();
     let charge = state.knowledge().desk_mut().quotas_mut().take(account, now);
     let charged = match charge {
         traffic::Charge::Taken => Ok(()),
         traffic::Charge::Over(pause) => Err(pause),
-        traffic::Charge::Ask(holder) => asks::ask(state, holder, account).await,
+        traffic::Charge::Ask(holder) => {
+            story.holder = Some(holder);
+            asks::ask(state, holder, account).await
+        }
     };
     charged.map_err(|pause| {
         Refused::new(kind::ErrorKind::OverRate, "account over its rate").with_pause(pause)
--- a/crates/host/tests/common/host.rs
+++ b/crates/host/tests/common/host.rs
@@ -9,6 +9,9 @@
 use super::Reply;
 use super::store;
 
+/// Name of the host in tests with one host.
+const NAME: &str = "front-a1-1";
+
 /// A host process, ended when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Host {
@@ -23,7 +26,12 @@
 impl Host {
     /// Starts a process that is ready.
     pub(crate) async fn start(store: &store::Store) -> Self {
-        let host = Self::start_unready(store);
+        Self::start_named(store, NAME).await
+    }
+
+    /// Starts a process of a host with a name, and waits until it is ready.
+    pub(crate) async fn start_named(store: &store::Store, name: &str) -> Self {
+        let host = Self::spawn(store, name);
         let began = time::Instant::now();
         while !host.is_ready().await {
             let log = host.log();
@@ -35,9 +43,13 @@
 
     /// Starts a process.
     pub(crate) fn start_unready(store: &store::Store) -> Self {
+        Self::spawn(store, NAME)
+    }
+
+    fn spawn(store: &store::Store, name: &str) -> Self {
         let directory = tempfile::tempdir().expect("directory");
         let [callers, readiness, control, lookups, reports, metrics] = free_addresses();
-        let settings = settings(
+        let mut settings = settings(
             store.address,
             callers,
             readiness,
@@ -45,6 +57,7 @@
             lookups,
             reports.port(),
         );
+        settings["self"]["node"] = name.into();
         std::fs::write(directory.path().join("boot.json"), settings.to_string()).expect("write");
         let log = std::fs::File::create(directory.path().join("log")).expect("log");
         let port = metrics.port().to_string();
@@ -159,7 +172,7 @@
     reports: u16,
 ) -> serde_json::Value {
     serde_json::json!({
-        "self": {"node": "front-a1-1", "role": "host", "zone": "a1", "region": "a", "ip": "127.0.0.1",
+        "self": {"node": NAME, "role": "host", "zone": "a1", "region": "a", "ip": "127.0.0.1",
             "limits": {"memoryMb": 260}},
         "network": {
             "listen": {"front": callers, "ready": readiness, "control": control, "directory": lookups},
--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -385,3 +385,82 @@
         assert!(text.lines().any(|other| other == line), "{line} in\n{text}");
     }
 }
+
+/// Two hosts of one zone that have heard each other.
+async fn two_hosts(store: &store::Store) -> [host::Host; 2] {
+    let first = host::Host::start_named(store, "front-a1-1").await;
+    let second = host::Host::start_named(store, "front-a1-2").await;
+    first.logged(&["host heard", "front-a1-2", "Ready"]).await;
+    second.logged(&["host heard", "front-a1-1", "Ready"]).await;
+    [first, second]
+}
+
+/// Found by the grown sites: each host's own feeds cost more calls than all else.
+#[tokio::test]
+async fn one_host_of_a_zone_reads_the_store_for_the_others() {
+    let (store, _targets) = deployment(&["i-1"]).await;
+    let [first, second] = two_hosts(&store).await;
+    let is_reader = |host: &host::Host| !host.log().contains("follows=false");
+    common::eventually("one of them stops reading", || async {
+        is_reader(&first) != is_reader(&second)
+    })
+    .await;
+    let (reader, other) = if is_reader(&first) {
+        (first, second)
+    } else {
+        (second, first)
+    };
+    // The first change ends the feed that the other host still waits for.
+    for (version, prefix) in [("0000000b", "/b/"), ("0000000c", "/c/")] {
+        store.put("op", "config", &host::configuration(version, prefix));
+        common::eventually("both serve the new route", || async {
+            let path = format!("{prefix}x");
+            let answers = [
+                reader.ask("GET", &path, "id-1").await,
+                other.ask("GET", &path, "id-2").await,
+            ];
+            answers.iter().all(|reply| reply.status == 200)
+        })
+        .await;
+    }
+    other.logged(&["learned from another host", "op"]).await;
+    drop(reader);
+    store.put("op", "config", &host::configuration("0000000d", "/d/"));
+    common::eventually("the other host reads itself", || async {
+        other.ask("GET", "/d/x", "id-3").await.status == 200
+    })
+    .await;
+    other.logged(&["follows=true"]).await;
+}
+
+/// Found by the grown sites: a small account's requests were refused at hosts without a token.
+#[tokio::test]
+async fn hosts_share_an_account_that_is_too_small_to_be_divided() {
+    const BURST: usize = 6;
+    let (store, _targets) = deployment(&["i-1"]).await;
+    let small = host::configuration("0000000b", "/look/")
+        .replace("\"ratePerS\":500", "\"ratePerS\":2")
+        .replace("\"burst\":500", &format!("\"burst\":{BURST}"));
+    store.put("op", "config", &small);
+    let hosts = two_hosts(&store).await;
+    for host in &hosts {
+        common::eventually("a token of the share", || async {
+            host.ask("GET", "/look/x", "id-1").await.status == 200
+        })
+        .await;
+    }
+    let began = time::Instant::now();
+    let mut served = 0;
+    for n in 0..40 {
+        let reply = hosts[n % 2].ask("GET", "/look/x", &format!("id-{n}")).await;
+        match reply.status {
+            200 => served += 1,
+            status => {
+                assert_eq!(status, 429);
+                assert!(reply.header("retry-after").is_some());
+            }
+        }
+    }
+    let seconds = usize::try_from(began.elapsed().as_secs()).expect("short") + 1;
+    assert!(served <= BURST + 2 * seconds, "{served} in {seconds} s");
+}
