--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -44,7 +44,7 @@
 pub use desk::{Desk, Identity, Limits};
 pub use directory::choose as choose_hosts;
 pub use fleet::{Fleet, News};
-pub use hash::{Object, digest};
+pub use hash::{Object, digest, fingerprint};
 pub use layout::Layout;
 pub use meter::Meter;
 pub use mirror::{Changes, Mirror, Row};
--- a/crates/core/tests/traffic/knowledge.rs
+++ b/crates/core/tests/traffic/knowledge.rs
@@ -222,3 +222,16 @@
     }
     assert!((2_850..=3_150).contains(&counts["large"]), "{counts:?}");
 }
+
+/// Load pattern: a request that crashes targets comes again at hosts of another build.
+#[test]
+fn fingerprints_are_the_same_in_every_build() {
+    let print = |texts: &[&str]| traffic::fingerprint(texts.iter().map(|text| text.as_bytes()));
+    assert_eq!(print(&["GET", "/a"]), print(&["GET", "/a"]));
+    assert_ne!(print(&["GET", "/a"]), print(&["GET/", "a"]));
+    assert_ne!(print(&["a", ""]), print(&["", "a"]));
+    assert_eq!(print(&["GET", "/stock/17", "acme", ""]), PRINT);
+}
+
+/// Pinned, as hosts of two builds must agree while a release is rolled out.
+const PRINT: u64 = 11_039_994_791_481_483_373;
--- a/crates/host/src/connections.rs
+++ b/crates/host/src/connections.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt;
 use skylark_core::instant;
 use skylark_core::name;
+use skylark_wire::http;
 
 use super::body;
 
@@ -20,10 +21,6 @@
 const FRESH: time::Duration = time::Duration::from_millis(1_500);
 /// Idle connections to one target that are kept at most.
 const MOST_IDLE: usize = 16;
-/// Silence of a connection before it is probed, and between probes.
-const SILENCE: time::Duration = time::Duration::from_secs(1);
-/// Unanswered probes after which a connection counts as lost.
-const PROBES: u32 = 2;
 /// Largest head that a target may send, in bytes.
 const HEAD_BYTES: usize = 64 * 1_024;
 
@@ -133,9 +130,9 @@
     let stream = tokio::net::TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let keepalive = socket2::TcpKeepalive::new()
-        .with_time(SILENCE)
-        .with_interval(SILENCE)
-        .with_retries(PROBES);
+        .with_time(http::SILENCE)
+        .with_interval(http::SILENCE)
+        .with_retries(http::PROBES);
     socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(HEAD_BYTES)
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -304,23 +304,20 @@
     })
 }
 
-/// Returns the fingerprint of a request, the same for each resend of it at hosts of one build.
+/// Returns the fingerprint of a request, the same for each resend of it.
 fn print(
     parts: &hyper::http::request::Parts,
     account: Option<&traffic::Account>,
     content: &exchange::Content,
 ) -> u64 {
-    use std::hash::Hash as _;
-    use std::hash::Hasher as _;
-
-    let mut hasher = std::hash::DefaultHasher::new();
-    parts.method.hash(&mut hasher);
-    parts.uri.hash(&mut hasher);
-    account.map(|account| &account.name).hash(&mut hasher);
-    if let exchange::Content::Whole(bytes) = content {
-        bytes.hash(&mut hasher);
-    }
-    hasher.finish()
+    let uri = parts.uri.to_string();
+    let account = account.map_or("", |account| account.name.as_str());
+    let body = match content {
+        exchange::Content::Whole(bytes) => &bytes[..],
+        exchange::Content::Once(_) => &[],
+    };
+    let method = parts.method.as_str();
+    traffic::fingerprint([method.as_bytes(), uri.as_bytes(), account.as_bytes(), body])
 }
 
 fn form(
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -10,9 +10,9 @@
 /// Time that a connection may take to open.
 const CONNECT_TIME: time::Duration = time::Duration::from_millis(600);
 /// Silence of a connection before it is probed, and between probes.
-const SILENCE: time::Duration = time::Duration::from_secs(1);
+pub const SILENCE: time::Duration = time::Duration::from_secs(1);
 /// Unanswered probes after which a connection counts as lost.
-const PROBES: u32 = 2;
+pub const PROBES: u32 = 2;
 
 /// Result of an HTTP exchange.
 pub type Result<T> = std::result::Result<T, Error>;
