--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -313,7 +313,7 @@
     let uri = parts.uri.to_string();
     let account = account.map_or("", |account| account.name.as_str());
     let body = match content {
-        exchange::Content::Whole(bytes) => &bytes[..],
+        exchange::Content::Whole(bytes) => bytes.as_ref(),
         exchange::Content::Once(_) => &[],
     };
     let method = parts.method.as_str();
