--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -700,12 +700,12 @@
                 }
             }
             let slots: f64 = supply.values().map(|supply| supply.slots).sum();
-            let told: f64 = supply.values().map(|supply| supply.demand).sum();
-            let even = (slots * EVEN_DEMAND).max(slots * LEAST_DEMAND - told);
+            let measured: f64 = supply.values().map(|supply| supply.demand).sum();
+            let even = (slots * EVEN_DEMAND).max(slots * LEAST_DEMAND - measured);
             for (region, supply) in &mut supply {
                 supply.demand += even * self.layout.part(region);
             }
-            if told > 0.0 {
+            if measured > 0.0 {
                 pool.plan.adjust(&own, &supply, now);
             } else {
                 pool.plan.begin(&own, &supply, now);
--- a/crates/host/src/asks.rs
+++ b/crates/host/src/asks.rs
@@ -9,6 +9,7 @@
 use skylark_core::name;
 use skylark_core::traffic;
 
+use super::message;
 use super::reports;
 use super::state;
 
@@ -82,7 +83,7 @@
     asks.lock().insert(number, sender);
     let _waiting = Waiting { asks, number };
     let account = traffic::digest(account.as_str());
-    let message = reports::Message::Ask { number, account };
+    let message = message::Message::Ask { number, account };
     for _try in 0..TRIES {
         reports::post(state, &message, &[holder]).await;
         match tokio::time::timeout(ANSWER_TIME, &mut receiver).await {
@@ -114,7 +115,7 @@
     let holder = state.knowledge().desk_mut().quotas_mut().refund(account);
     if let Some(holder) = holder {
         let account = traffic::digest(account.as_str());
-        let message = reports::Message::Refund { account };
+        let message = message::Message::Refund { account };
         reports::post(state, &message, &[holder]).await;
     }
 }
--- /dev/null
+++ b/crates/host/src/message.rs
@@ -0,0 +1,36 @@
+//! A message between hosts, in one datagram.
+
+use skylark_core::traffic;
+
+use super::asks;
+
+/// A message between hosts.
+#[derive(Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub(crate) enum Message {
+    /// A host's own report.
+    Report(traffic::Report),
+    /// A relay's sum of its zone, for relays of other zones.
+    Summary(traffic::Summary),
+    /// Another zone's sum, passed on by a relay to its own zone.
+    Passed(traffic::Summary),
+    /// Asks the holder of an account's share for a token.
+    Ask {
+        /// Number of the question at the host that asks.
+        number: u64,
+        /// Digest of the account's name.
+        account: u32,
+    },
+    /// The answer to such a question.
+    Grant {
+        /// Number of the question.
+        number: u64,
+        /// The answer.
+        grant: asks::Grant,
+    },
+    /// Gives a token back.
+    Refund {
+        /// Digest of the account's name.
+        account: u32,
+    },
+}
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -4,7 +4,6 @@
 //! its own availability zone only; the zone's relays add the reports up, send
 //! the sums to the other zones' relays, and pass on what they get from them.
 
-use std::collections;
 use std::net;
 use std::sync;
 use std::time;
@@ -16,7 +15,10 @@
 
 use super::asks;
 use super::error;
+use super::message;
+use super::passing;
 use super::state;
+use super::waiting;
 
 /// Time between two reports, and between two looks at shares and plans.
 const ROUND: time::Duration = time::Duration::from_millis(250);
@@ -28,45 +30,6 @@
 const MESSAGE_BYTES: usize = 32 * 1_024;
 /// Hosts up to which each one is told every report.
 const SMALL_FLEET: usize = 16;
-/// Time without what the first relay passes on, after which the second one does.
-const PASSING_SILENCE: time::Duration = time::Duration::from_millis(800);
-
-/// A message between hosts.
-#[derive(Debug)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub(crate) enum Message {
-    /// A host's own report.
-    Report(traffic::Report),
-    /// A relay's sum of its zone, for relays of other zones.
-    Summary(traffic::Summary),
-    /// Another zone's sum, passed on by a relay to its own zone.
-    Passed(traffic::Summary),
-    /// Asks the holder of an account's share for a token.
-    Ask {
-        /// Number of the question at the host that asks.
-        number: u64,
-        /// Digest of the account's name.
-        account: u32,
-    },
-    /// The answer to such a question.
-    Grant {
-        /// Number of the question.
-        number: u64,
-        /// The answer.
-        grant: asks::Grant,
-    },
-    /// Gives a token back.
-    Refund {
-        /// Digest of the account's name.
-        account: u32,
-    },
-}
-
-/// When another relay last passed on each zone's sum.
-#[derive(Debug, Default)]
-pub(crate) struct Passing {
-    heard: collections::HashMap<name::Zone, instant::Instant>,
-}
 
 /// Tells the other hosts what this one does, until the task is dropped.
 pub(crate) async fn tell(state: sync::Arc<state::State>) -> error::Result<()> {
@@ -108,29 +71,43 @@
         let zone = &state.identity.zone;
         let near = |other: &name::Zone| is_small || other == zone;
         let direct = state.peers.due(near, now);
-        let place = fleet.place_in(zone, &state.identity.host, now);
-        let layout = known.desk().layout();
-        let relays: Vec<net::SocketAddr> = if is_small {
+        let relays = if is_small {
             Vec::new()
         } else {
-            let all = fleet.relays(zone, now).into_iter();
-            let due = all.filter(|relay| {
-                let is_near = layout.region(&relay.zone) == Some(&state.identity.region);
-                cadence.is_due(place, is_near)
-            });
-            due.map(|relay| relay.control).collect()
+            due_relays(known.desk(), &state.identity, cadence, now)
         };
         let summary = (!relays.is_empty()).then(|| fleet.summarize(&report, now));
         (report, direct, relays, summary)
     };
-    post(state, &Message::Report(report), &direct).await;
+    post(state, &message::Message::Report(report), &direct).await;
     if let Some(summary) = summary {
-        post(state, &Message::Summary(summary), &relays).await;
+        post(state, &message::Message::Summary(summary), &relays).await;
     }
 }
 
+/// Returns the relays of other zones that are to get this zone's sum now.
+fn due_relays(
+    desk: &traffic::Desk<waiting::Waker>,
+    identity: &traffic::Identity,
+    cadence: traffic::Cadence,
+    now: instant::Instant,
+) -> Vec<net::SocketAddr> {
+    let fleet = desk.fleet();
+    let place = fleet.place_in(&identity.zone, &identity.host, now);
+    let relays = fleet.relays(&identity.zone, now).into_iter();
+    let due = relays.filter(|relay| {
+        let is_near = desk.layout().region(&relay.zone) == Some(&identity.region);
+        cadence.is_due(place, is_near)
+    });
+    due.map(|relay| relay.control).collect()
+}
+
 /// Sends one message to the hosts with these control addresses.
-pub(crate) async fn post(state: &state::State, message: &Message, hosts: &[net::SocketAddr]) {
+pub(crate) async fn post(
+    state: &state::State,
+    message: &message::Message,
+    hosts: &[net::SocketAddr],
+) {
     let port = state.settings().report_port;
     let bytes = match bincode::DefaultOptions::new().serialize(message) {
         Ok(bytes) => bytes,
@@ -159,7 +136,7 @@
 /// Takes in the other hosts' messages, until the task is dropped.
 pub(crate) async fn hear(state: sync::Arc<state::State>) -> error::Result<()> {
     let mut buffer = vec![0; MESSAGE_BYTES];
-    let mut passing = Passing::default();
+    let mut passing = passing::Passing::default();
     loop {
         let (length, from) = state.reports.recv_from(&mut buffer).await?;
         let message = match bincode::DefaultOptions::new().deserialize(&buffer[..length]) {
@@ -170,25 +147,25 @@
             }
         };
         match message {
-            Message::Report(report) => {
+            message::Message::Report(report) => {
                 let now = state.clock.now();
                 let member = report.member.clone();
                 let news = state.knowledge().desk_mut().hear(report, now);
                 take(&state, &member, news, now);
             }
-            Message::Summary(summary) => pass_on(&state, &passing, summary).await,
-            Message::Passed(summary) => {
+            message::Message::Summary(summary) => pass_on(&state, &passing, summary).await,
+            message::Message::Passed(summary) => {
                 let now = state.clock.now();
-                passing.heard.insert(summary.zone.clone(), now);
+                passing.hear(&summary.zone, now);
                 take_summary(&state, summary, now);
             }
-            Message::Ask { number, account } => {
+            message::Message::Ask { number, account } => {
                 let grant = asks::grant(&state, account);
-                let answer = Message::Grant { number, grant };
+                let answer = message::Message::Grant { number, grant };
                 post(&state, &answer, &[from]).await;
             }
-            Message::Grant { number, grant } => state.asks.answer(number, grant),
-            Message::Refund { account } => {
+            message::Message::Grant { number, grant } => state.asks.answer(number, grant),
+            message::Message::Refund { account } => {
                 let mut known = state.knowledge();
                 known.desk_mut().quotas_mut().take_back(account);
             }
@@ -197,10 +174,10 @@
 }
 
 /// Takes in another zone's sum, and passes it on to the own zone.
-async fn pass_on(state: &state::State, passing: &Passing, summary: traffic::Summary) {
+async fn pass_on(state: &state::State, passing: &passing::Passing, summary: traffic::Summary) {
     let now = state.clock.now();
     let is_due = passing.is_due(state, &summary.zone, now);
-    let passed = is_due.then(|| Message::Passed(summary.clone()));
+    let passed = is_due.then(|| message::Message::Passed(summary.clone()));
     take_summary(state, summary, now);
     if let Some(passed) = passed {
         let mates = zone_mates(state, now);
@@ -208,19 +185,6 @@
     }
 }
 
-impl Passing {
-    /// Returns whether this host is to pass a zone's sum on to its own zone.
-    fn is_due(&self, state: &state::State, zone: &name::Zone, now: instant::Instant) -> bool {
-        let known = state.knowledge();
-        let fleet = known.desk().fleet();
-        if fleet.place_in(&state.identity.zone, &state.identity.host, now) == 0 {
-            return true;
-        }
-        let heard = self.heard.get(zone);
-        heard.is_none_or(|at| now.since(*at) >= PASSING_SILENCE)
-    }
-}
-
 fn zone_mates(state: &state::State, now: instant::Instant) -> Vec<net::SocketAddr> {
     let known = state.knowledge();
     let live = known.desk().fleet().live(now);
