Bound the memory of bodies, and test the walks of the operations page

Change: 32 MiB for the bodies of all requests; a request for whose body there is no room is refused with 503 and a pause, a long answer is passed on earlier. Bodies are handed on in pieces of 16 KiB, so that what is counted lasts as long as what is held. Tests besides: the three walks of docs/OPERATIONS.md from a failed request's id, a flood of refusals within the log's budget, a log that nobody reads.

--- a/crates/host/src/body.rs
+++ b/crates/host/src/body.rs
@@ -7,9 +7,14 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 
+use super::memory;
+
 /// Bytes of a body that are read before it is passed on.
 pub(crate) const WHOLE_BYTES: usize = 256 * 1_024;
 
+/// Bytes that are handed on at once; the rest waits here until they are taken.
+const PIECE_BYTES: usize = 16 * 1_024;
+
 /// Error of a body that ends early.
 pub(crate) type Fault = Box<dyn std::error::Error + Send + Sync>;
 
@@ -20,6 +25,8 @@
     rest: Option<hyper::body::Incoming>,
     /// Bytes that may still come.
     room: u64,
+    /// Counts the beginning as held for as long as it may be.
+    hold: Option<memory::Hold>,
 }
 
 /// A body that was read as far as it is kept in memory.
@@ -29,6 +36,8 @@
     Whole(Bytes),
     /// The beginning, and the rest.
     Part(Bytes, hyper::body::Incoming),
+    /// The beginning, for which there is no room, and the rest.
+    Crowded(Bytes, hyper::body::Incoming),
 }
 
 impl Passing {
@@ -38,6 +47,15 @@
             head: Some(bytes),
             rest: None,
             room: 0,
+            hold: None,
+        }
+    }
+
+    /// Keeps what is counted as held until the body has been handed on.
+    pub(crate) fn with_hold(self, hold: memory::Hold) -> Self {
+        Self {
+            hold: Some(hold),
+            ..self
         }
     }
 
@@ -47,6 +65,7 @@
             head: Some(head),
             rest: Some(rest),
             room,
+            hold: None,
         }
     }
 }
@@ -59,9 +78,11 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<hyper::body::Frame<Bytes>, Fault>>> {
-        if let Some(head) = self.head.take().filter(|head| !head.is_empty()) {
-            return task::Poll::Ready(Some(Ok(hyper::body::Frame::data(head))));
+        if let Some(head) = self.head.as_mut().filter(|head| !head.is_empty()) {
+            let piece = head.split_to(head.len().min(PIECE_BYTES));
+            return task::Poll::Ready(Some(Ok(hyper::body::Frame::data(piece))));
         }
+        self.hold = None;
         let Some(rest) = self.rest.as_mut() else {
             return task::Poll::Ready(None);
         };
@@ -107,12 +128,22 @@
 /// # Errors
 ///
 /// Fails when the body ends early.
-pub(crate) async fn read(mut incoming: hyper::body::Incoming) -> Result<Read, hyper::Error> {
-    let mut bytes = BytesMut::new();
+pub(crate) async fn read(
+    mut incoming: hyper::body::Incoming,
+    hold: &mut memory::Hold,
+) -> Result<Read, hyper::Error> {
+    let length = hyper::body::Body::size_hint(&incoming).lower();
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    let mut bytes = BytesMut::with_capacity(length.min(WHOLE_BYTES));
     while let Some(frame) = incoming.frame().await {
+        let mut has_room = true;
         if let Ok(data) = frame?.into_data() {
+            has_room = hold.add(data.len());
             bytes.extend_from_slice(&data);
         }
+        if !has_room {
+            return Ok(Read::Crowded(bytes.freeze(), incoming));
+        }
         if bytes.len() > WHOLE_BYTES {
             return Ok(Read::Part(bytes.freeze(), incoming));
         }
--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -207,7 +207,8 @@
     let status = parts.status.as_u16();
     let is_not_run = parts.headers.contains_key(header::NOT_RUN);
     let left = message.until.since(state.clock.now());
-    let read = match tokio::time::timeout(left, body::read(incoming)).await {
+    let mut hold = state.memory.hold();
+    let read = match tokio::time::timeout(left, body::read(incoming, &mut hold)).await {
         Err(_elapsed) => {
             return Outcome::without(traffic::Ending::Silent, "answer not whole in time");
         }
@@ -237,11 +238,11 @@
     let passing = match read {
         body::Read::Whole(bytes) => {
             keep_open(state, pick, connection, keep, is_closing);
-            body::Passing::whole(bytes)
+            body::Passing::whole(bytes).with_hold(hold)
         }
-        body::Read::Part(head, rest) => {
+        body::Read::Part(head, rest) | body::Read::Crowded(head, rest) => {
             hold_open(connection, message.until.since(state.clock.now()));
-            body::Passing::streaming(head, rest, u64::MAX)
+            body::Passing::streaming(head, rest, u64::MAX).with_hold(hold)
         }
     };
     Outcome {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod knowledge;
 mod lookups;
+mod memory;
 mod message;
 mod metrics;
 mod passing;
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -17,6 +17,7 @@
 use super::asks;
 use super::body;
 use super::exchange;
+use super::memory;
 use super::state;
 use super::waiting;
 
@@ -24,6 +25,8 @@
 const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(30);
 /// Pause of a caller that this host cannot serve, but another one can.
 const ELSEWHERE_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Pause of a caller for whose body there is no memory; slow ones free theirs at their deadline.
+const CROWDED_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// Time from the order to stop after which a request is taken only if it ends in time.
 const LATE_START: time::Duration = time::Duration::from_millis(2_900);
 /// Time before the end by force by which requests must have ended.
@@ -171,7 +174,9 @@
             "body over the limit",
         ));
     }
-    let mut content = read(incoming, until.since(state.clock.now()), limits.body_bytes).await?;
+    let left = until.since(state.clock.now());
+    let mut hold = state.memory.hold();
+    let mut content = read(incoming, left, limits.body_bytes, &mut hold).await?;
     let service = state.knowledge().desk_mut().choose_service(&route);
     let Some(service) = service else {
         return Err(Refused::new(
@@ -240,17 +245,23 @@
     incoming: hyper::body::Incoming,
     left: time::Duration,
     most: u64,
+    hold: &mut memory::Hold,
 ) -> Result<exchange::Content, Refused> {
     if hyper::body::Body::is_end_stream(&incoming) {
         return Ok(exchange::Content::Whole(bytes::Bytes::new()));
     }
-    match tokio::time::timeout(left, body::read(incoming)).await {
+    match tokio::time::timeout(left, body::read(incoming, hold)).await {
         Err(_elapsed) => Err(Refused::new(
             kind::ErrorKind::Overloaded,
             "body not whole in time",
         )),
         Ok(Err(_fault)) => Err(Refused::new(kind::ErrorKind::BadRequest, "body broke off")),
         Ok(Ok(body::Read::Whole(bytes))) => Ok(exchange::Content::Whole(bytes)),
+        Ok(Ok(body::Read::Crowded(..))) => Err(Refused::new(
+            kind::ErrorKind::Overloaded,
+            "no memory for the body",
+        )
+        .with_pause(CROWDED_PAUSE)),
         Ok(Ok(body::Read::Part(head, rest))) => {
             let sent = u64::try_from(head.len()).unwrap_or(u64::MAX);
             let room = most.saturating_sub(sent);
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -15,6 +15,7 @@
 use super::connections;
 use super::error;
 use super::knowledge;
+use super::memory;
 use super::metrics;
 use super::peers;
 
@@ -34,6 +35,7 @@
     /// Carries the messages between hosts.
     pub(crate) reports: tokio::net::UdpSocket,
     pub(crate) asks: asks::Asks,
+    pub(crate) memory: memory::Memory,
     pub(crate) metrics: metrics::Metrics,
     /// Wakes the task that asks other hosts for what they know.
     pub(crate) behind: tokio::sync::Notify,
@@ -75,6 +77,7 @@
             peers: peers::Addresses::new(&settings.seeds, settings.control),
             reports,
             asks: asks::Asks::default(),
+            memory: memory::Memory::default(),
             metrics: metrics::Metrics::default(),
             behind: tokio::sync::Notify::new(),
             news: tokio::sync::Notify::new(),
--- a/crates/host/tests/common/host.rs
+++ b/crates/host/tests/common/host.rs
@@ -31,7 +31,16 @@
 
     /// Starts a process of a host with a name, and waits until it is ready.
     pub(crate) async fn start_named(store: &store::Store, name: &str) -> Self {
-        let host = Self::spawn(store, name);
+        Self::spawn(store, name, None).until_ready().await
+    }
+
+    /// Starts a process that is ready and writes its log to a pipe.
+    pub(crate) async fn start_with_log(store: &store::Store, log: std::io::PipeWriter) -> Self {
+        Self::spawn(store, NAME, Some(log)).until_ready().await
+    }
+
+    async fn until_ready(self) -> Self {
+        let host = self;
         let began = time::Instant::now();
         while !host.is_ready().await {
             let log = host.log();
@@ -43,10 +52,10 @@
 
     /// Starts a process.
     pub(crate) fn start_unready(store: &store::Store) -> Self {
-        Self::spawn(store, NAME)
+        Self::spawn(store, NAME, None)
     }
 
-    fn spawn(store: &store::Store, name: &str) -> Self {
+    fn spawn(store: &store::Store, name: &str, pipe: Option<std::io::PipeWriter>) -> Self {
         let directory = tempfile::tempdir().expect("directory");
         let [callers, readiness, control, lookups, reports, metrics] = free_addresses();
         let mut settings = settings(
@@ -64,7 +73,7 @@
         let child = command(&directory.path().join("boot.json"))
             .args(["--metrics", &port])
             .stderr(log.try_clone().expect("log"))
-            .stdout(log)
+            .stdout(pipe.map_or(process::Stdio::from(log), process::Stdio::from))
             .spawn()
             .expect("start");
         Self {
@@ -105,6 +114,15 @@
         assert!(sent.success());
     }
 
+    /// Returns the most memory that the process had, in KiB.
+    pub(crate) fn peak_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("status");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let mut words = line.expect("VmHWM").split_whitespace();
+        words.nth(1).expect("figure").parse().expect("KiB")
+    }
+
     pub(crate) fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("state").is_some()
     }
--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -8,6 +8,9 @@
 
 use super::store;
 
+/// Bytes of a long answer, which is just read whole before it is handed on.
+pub(crate) const LONG_BYTES: usize = 250 * 1_024;
+
 /// How a target treats the next requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Manner {
@@ -24,6 +27,8 @@
     AnswerTwice,
     /// It succeeds without its mark.
     Unmarked,
+    /// Its answer is long.
+    AnswerLong,
 }
 
 #[derive(Debug, Default)]
@@ -128,6 +133,11 @@
                     return;
                 }
                 Manner::AnswerTwice => whole.repeat(2),
+                Manner::AnswerLong => format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s.{id}\r\n\
+                     Content-Length: {LONG_BYTES}\r\n\r\n{}",
+                    "x".repeat(LONG_BYTES)
+                ),
                 Manner::Unmarked => whole.replace("Response-Stamp", "Other"),
             };
             if stream.write_all(answer.as_bytes()).await.is_err() {
--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -1,5 +1,6 @@
 //! The host process beside stand-ins of the platform.
 
+#[expect(dead_code, reason = "shared with the other tests of the process")]
 mod common;
 
 use std::time;
--- /dev/null
+++ b/crates/host/tests/walks.rs
@@ -0,0 +1,144 @@
+//! From a failed request's id to its cause, by the steps of docs/OPERATIONS.md; and the log under load.
+
+#[expect(dead_code, reason = "shared with the tests of the process")]
+mod common;
+
+use std::time;
+
+use common::host;
+use common::store;
+use common::target;
+
+const DEADLINE_MILLIS: &str = "700";
+/// Bytes of the log in a quarter of a second, as docs/OPERATIONS.md states it.
+const LOG_BYTES: u64 = 96 * 1_024;
+/// Requests of a flood.
+const FLOOD: usize = 4_000;
+/// Callers that send a flood beside each other.
+const CALLERS: usize = 8;
+
+async fn deployment() -> (store::Store, target::Target) {
+    let store = store::Store::start().await;
+    store.put("op", "config", &host::configuration("0000000a", "/look/"));
+    let target = target::Target::start("i-1").await;
+    target.list(&store, "ready");
+    (store, target)
+}
+
+/// Returns the field of a line, as `grep request=ID` shows it.
+fn field<'a>(line: &'a str, name: &str) -> &'a str {
+    let start = line.find(&format!(" {name}=")).expect(name) + name.len() + 2;
+    let rest = &line[start..];
+    match rest.strip_prefix('"') {
+        Some(quoted) => quoted.split('"').next().expect("text"),
+        None => rest.split_whitespace().next().expect("text"),
+    }
+}
+
+async fn ask(host: &host::Host, method: &str, path: &str, id: &str) -> u16 {
+    let mut request = common::request(method, path, id, Vec::new());
+    let deadline = DEADLINE_MILLIS.parse().expect("value");
+    request.headers_mut().insert("deadline-ms", deadline);
+    let reply = common::call(host.callers, request).await;
+    reply.expect("answer").status
+}
+
+#[tokio::test]
+async fn a_refused_request_leads_to_the_targets_that_left() {
+    let (store, target) = deployment().await;
+    let host = host::Host::start(&store).await;
+    assert_eq!(ask(&host, "GET", "/look/x", "good").await, 200);
+    target.list(&store, "draining");
+    host.logged(&["target changed", "i-1", "Draining"]).await;
+    assert_eq!(ask(&host, "GET", "/look/x", "refused").await, 503);
+    let line = host.logged(&["event=\"request\"", "request=refused"]).await;
+    assert_eq!(field(&line, "reason"), "no room in time");
+    assert_eq!(field(&line, "sends"), "0");
+    assert_eq!(field(&line, "account"), "acme");
+    let log = host.log();
+    let before = log.split("request=refused").next().expect("before");
+    let change = before.lines().rfind(|line| line.contains("target changed"));
+    assert_eq!(field(change.expect("a change"), "state"), "Draining");
+    let good = host.logged(&["event=\"request\"", "request=good"]).await;
+    assert_eq!(field(&good, "rules"), field(&line, "rules"));
+}
+
+#[tokio::test]
+async fn a_late_request_leads_to_the_target_that_did_not_answer() {
+    let (store, target) = deployment().await;
+    let host = host::Host::start(&store).await;
+    target.set_manner(target::Manner::Hang);
+    assert_eq!(ask(&host, "POST", "/order/x", "late").await, 504);
+    let line = host.logged(&["event=\"request\"", "request=late"]).await;
+    assert_eq!(field(&line, "reason"), "no answer in time");
+    assert_eq!(field(&line, "sends"), "1");
+    assert_eq!(field(&line, "target_id"), "i-1");
+    assert!(field(&line, "expected").starts_with("Some("));
+    let took = field(&line, "took");
+    let millis: f64 = took
+        .strip_suffix("ms")
+        .expect("ms")
+        .parse()
+        .expect("number");
+    let deadline: f64 = DEADLINE_MILLIS.parse().expect("number");
+    assert!(millis >= deadline * 0.9, "{took}");
+}
+
+#[tokio::test]
+async fn a_request_of_unknown_outcome_leads_to_the_target_that_broke_off() {
+    let (store, target) = deployment().await;
+    let host = host::Host::start(&store).await;
+    target.set_manner(target::Manner::CutShort);
+    assert_eq!(ask(&host, "POST", "/order/x", "unknown").await, 502);
+    let line = host.logged(&["event=\"request\"", "request=unknown"]).await;
+    assert_eq!(field(&line, "reason"), "answer broke off");
+    assert_eq!(
+        (field(&line, "sends"), field(&line, "target_id")),
+        ("1", "i-1")
+    );
+    let of_target = host.logged(&["target changed", "target_id=i-1"]).await;
+    assert_eq!(field(&of_target, "state"), "Ready");
+}
+
+/// Sends requests that no route serves; returns their number by status.
+async fn flood(host: &host::Host) -> Vec<u16> {
+    let callers = (0..CALLERS).map(|caller| async move {
+        let mut statuses = Vec::new();
+        for n in 0..FLOOD / CALLERS {
+            statuses.push(ask(host, "GET", "/nowhere", &format!("f{caller}-{n}")).await);
+        }
+        statuses
+    });
+    futures::future::join_all(callers).await.concat()
+}
+
+#[tokio::test]
+async fn a_flood_of_refusals_keeps_the_log_s_budget() {
+    let (store, _target) = deployment().await;
+    let host = host::Host::start(&store).await;
+    let before = host.log().len();
+    let began = time::Instant::now();
+    let statuses = flood(&host).await;
+    assert!(statuses.iter().all(|status| *status == 404));
+    // A change of what the host believes is told, whatever the flood.
+    store.put("op", "config", &host::configuration("0000000b", "/new/"));
+    host.logged(&["rules read", "version=11"]).await;
+    let written = u64::try_from(host.log().len() - before).expect("small");
+    let writes = u64::try_from(began.elapsed().as_millis() / 250 + 2).expect("small");
+    assert!(
+        written <= writes * LOG_BYTES,
+        "{written} bytes in {writes} writes"
+    );
+}
+
+#[tokio::test]
+async fn a_log_that_nobody_reads_holds_up_no_request() {
+    let (store, _target) = deployment().await;
+    let (reader, writer) = std::io::pipe().expect("pipe");
+    let host = host::Host::start_with_log(&store, writer).await;
+    let statuses = flood(&host).await;
+    assert_eq!(statuses.len(), FLOOD);
+    assert!(statuses.iter().all(|status| *status == 404));
+    assert_eq!(ask(&host, "GET", "/look/x", "last").await, 200);
+    drop(reader);
+}
