--- a/crates/core/tests/traffic/common.rs
+++ b/crates/core/tests/traffic/common.rs
@@ -145,3 +145,11 @@
         deaths: Vec::new(),
     }
 }
+
+pub(crate) fn row(key: &str, version: u64, value: Option<&str>) -> traffic::Row {
+    traffic::Row {
+        key: key.to_owned(),
+        version,
+        value: value.map(|text| text.as_bytes().to_vec()),
+    }
+}
--- a/crates/core/tests/traffic/knowledge.rs
+++ b/crates/core/tests/traffic/knowledge.rs
@@ -9,23 +9,28 @@
 
 use super::common;
 
-fn row(key: &str, version: u64, value: Option<&str>) -> traffic::Row {
-    traffic::Row {
-        key: key.to_owned(),
-        version,
-        value: value.map(|text| text.as_bytes().to_vec()),
-    }
-}
-
 #[test]
 fn a_mirror_never_steps_back() {
     let mut mirror = traffic::Mirror::default();
-    assert_eq!(mirror.replace(vec![row("a", 5, Some("new"))], 7).len(), 1);
-    assert!(mirror.replace(vec![row("a", 3, Some("old"))], 6).is_empty());
-    assert!(mirror.change(vec![row("a", 5, Some("new"))], 7).is_empty());
-    assert!(mirror.change(vec![row("a", 4, None)], 7).is_empty());
+    assert_eq!(
+        mirror
+            .replace(vec![common::row("a", 5, Some("new"))], 7)
+            .len(),
+        1
+    );
+    assert!(
+        mirror
+            .replace(vec![common::row("a", 3, Some("old"))], 6)
+            .is_empty()
+    );
+    assert!(
+        mirror
+            .change(vec![common::row("a", 5, Some("new"))], 7)
+            .is_empty()
+    );
+    assert!(mirror.change(vec![common::row("a", 4, None)], 7).is_empty());
     assert_eq!(mirror.rows().count(), 1);
-    assert_eq!(mirror.change(vec![row("a", 9, None)], 9).len(), 1);
+    assert_eq!(mirror.change(vec![common::row("a", 9, None)], 9).len(), 1);
     assert_eq!(mirror.version(), 9);
     assert_eq!(mirror.rows().count(), 0);
 }
@@ -33,9 +38,15 @@
 #[test]
 fn a_whole_copy_tells_what_is_gone() {
     let mut mirror = traffic::Mirror::default();
-    mirror.replace(vec![row("a", 1, Some("x")), row("b", 2, Some("y"))], 2);
-    let news = mirror.replace(vec![row("b", 2, Some("y"))], 4);
-    assert_eq!(news, [row("a", 4, None)]);
+    mirror.replace(
+        vec![
+            common::row("a", 1, Some("x")),
+            common::row("b", 2, Some("y")),
+        ],
+        2,
+    );
+    let news = mirror.replace(vec![common::row("b", 2, Some("y"))], 4);
+    assert_eq!(news, [common::row("a", 4, None)]);
 }
 
 #[test]
--- a/crates/core/tests/traffic/relays.rs
+++ b/crates/core/tests/traffic/relays.rs
@@ -126,14 +126,6 @@
     assert!(both.contains(&first[0]));
 }
 
-fn row(key: &str, version: u64, value: Option<&str>) -> traffic::Row {
-    traffic::Row {
-        key: key.to_owned(),
-        version,
-        value: value.map(|text| text.as_bytes().to_vec()),
-    }
-}
-
 /// Load pattern: many hosts hear of each change from one that reads the store.
 #[test]
 fn a_copy_that_is_fed_by_changes_equals_the_one_that_feeds_it() {
@@ -147,12 +139,12 @@
             let value = u.arbitrary::<bool>()?.then_some("v");
             if reader.version() == 0 || u.ratio(1, 5)? {
                 let rows = value
-                    .map(|_v| row(key, version, value))
+                    .map(|_v| common::row(key, version, value))
                     .into_iter()
                     .collect();
                 reader.replace(rows, version);
             } else {
-                reader.change(vec![row(key, version, value)], version);
+                reader.change(vec![common::row(key, version, value)], version);
             }
             if u.arbitrary()? {
                 match reader.changes(hearer.version()) {
@@ -170,9 +162,9 @@
 #[test]
 fn a_copy_that_has_forgotten_removals_gives_all_rows() {
     let mut reader = traffic::Mirror::default();
-    reader.replace(vec![row("kept", 1, Some("v"))], 1);
+    reader.replace(vec![common::row("kept", 1, Some("v"))], 1);
     for n in 0..2_000 {
-        reader.change(vec![row(&format!("k{n}"), 2 + n, None)], 2 + n);
+        reader.change(vec![common::row(&format!("k{n}"), 2 + n, None)], 2 + n);
     }
     assert!(matches!(reader.changes(1), traffic::Changes::Whole(rows) if rows.len() == 1));
     assert!(matches!(reader.changes(1_999), traffic::Changes::Since(rows) if rows.len() == 2));
