--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -206,7 +206,10 @@
         for row in new_rows.iter().filter(|row| row.key == config::CONFIG_KEY) {
             let Some(bytes) = &row.value else { continue };
             match config::parse(bytes) {
-                Ok(rules) => {
+                Ok(config::Parsed { rules, warnings }) => {
+                    for warning in &warnings {
+                        log::error!(row = row.version, error:% = warning; "part of the configuration not understood");
+                    }
                     let version = rules.version;
                     let is_new = self.dispatcher.set_rules(sync::Arc::new(rules), now);
                     log::info!(version, row = row.version, in_force = is_new; "configuration read");
--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -272,6 +272,27 @@
     assert_eq!(host.request("GET", "/new/x", "id-5").await.status, 503);
 }
 
+#[tokio::test]
+async fn a_route_of_an_unknown_type_costs_no_other_route() {
+    let (store, targets) = deployment(&["i-1"]).await;
+    let text = host::configuration("0000000a", "/look/").replace("unsafe", "holographic");
+    store.put("op", "config", &text);
+    let host = host::Host::start(&store).await;
+    host.wait_for_log(&[
+        "part of the configuration not understood",
+        "route order",
+        "type",
+    ])
+    .await;
+    assert_eq!(host.request("GET", "/look/x", "id-1").await.status, 200);
+    assert_eq!(host.request("POST", "/order/x", "id-2").await.status, 200);
+    targets[0].set_behavior(target::Behavior::Disconnect);
+    assert_eq!(host.request("POST", "/order/x", "id-3").await.status, 502);
+    let sends = targets[0].heads();
+    let sends = sends.iter().filter(|head| head.contains("id-3"));
+    assert_eq!(sends.count(), 1, "it may have run");
+}
+
 /// Guards against polls that stay open for good when the store becomes unresponsive while they wait
 /// (`hunt day mix --seed 1035964111062`).
 #[tokio::test]
