End a caller's request when it leaves with pipelined requests outstanding

Cause: the HTTP library notices that a caller closed only while it reads, and it does not read while a pipelined request waits in its buffer. The request in front then ran on at its target for up to its deadline.

--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -1,12 +1,13 @@
 //! HTTP server for callers, and the drain before the process stops.
 
-use std::convert;
+use std::io;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use hyper_util::rt;
 
+use super::caller_stream;
 use super::error;
 use super::pipeline;
 use super::state;
@@ -53,9 +54,18 @@
             .rules()
             .map_or_else(Default::default, |rules| rules.limits)
     };
+    let stream = caller_stream::CallerStream::new(stream);
+    let caller = stream.clone();
     let service = hyper::service::service_fn(move |request| {
         let state = sync::Arc::clone(&state);
-        async move { Ok::<_, convert::Infallible>(pipeline::serve(state, request).await) }
+        let caller = caller.clone();
+        async move {
+            tokio::select! {
+                biased;
+                response = pipeline::serve(state, request) => Ok(response),
+                () = caller.closed() => Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
+            }
+        }
     });
     let idle = limits.idle_time.max(limits.head_time) + IDLE_MARGIN;
     let served = hyper::server::conn::http1::Builder::new()
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,6 +1,7 @@
 //! Entry host, look-up and control of one host in one process, on the users' platform.
 
 mod body;
+mod caller_stream;
 mod callers;
 mod cluster;
 mod connections;
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Starts a host process with test doubles of the platform's store and of targets.
 
 pub(crate) mod host;
+pub(crate) mod raw;
 pub(crate) mod store;
 pub(crate) mod target;
 
--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -35,6 +35,8 @@
     AnswerLong,
     /// Reads nothing from a new connection for a while.
     ReadLate,
+    /// Answers after the head, and reads the body later.
+    AnswerEarly,
 }
 
 /// A request that a target began to run.
@@ -142,16 +144,25 @@
         if *self.behavior.lock().expect("behavior") == Behavior::ReadLate {
             tokio::time::sleep(READ_DELAY).await;
         }
-        while let Some((head, body)) = read(&mut stream, &mut pending).await {
+        while let Some(head) = read_head(&mut stream, &mut pending).await {
             let id = value(&head, "request-id").unwrap_or_default();
             let behavior = *self.behavior.lock().expect("behavior");
-            self.record_request(&head, body, behavior);
             let text = format!("{} answered {id}", self.id);
             let whole = format!(
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s.{id}\r\n\
                  Backend-Load: 0,0,4\r\nContent-Length: {}\r\n\r\n{text}",
                 text.len()
             );
+            if behavior == Behavior::AnswerEarly {
+                if stream.write_all(whole.as_bytes()).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(READ_DELAY / 4).await;
+            }
+            let Some(body) = read_body(&mut stream, &mut pending, &head).await else {
+                return;
+            };
+            self.record_request(&head, body, behavior);
             let answer = match behavior {
                 Behavior::Answer | Behavior::ReadLate => whole,
                 Behavior::RefuseToRun => format!(
@@ -159,6 +170,7 @@
                      Content-Length: 0\r\n\r\n"
                 ),
                 Behavior::Disconnect => return,
+                Behavior::AnswerEarly => continue,
                 Behavior::Hang => {
                     let mut byte = [0];
                     if matches!(stream.read(&mut byte).await, Ok(0) | Err(_)) {
@@ -193,10 +205,7 @@
     found.map(|(_header, value)| value.to_owned())
 }
 
-async fn read(
-    stream: &mut tokio::net::TcpStream,
-    pending: &mut Vec<u8>,
-) -> Option<(String, Vec<u8>)> {
+async fn read_head(stream: &mut tokio::net::TcpStream, pending: &mut Vec<u8>) -> Option<String> {
     let end = loop {
         if let Some(at) = pending.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
             break at + 4;
@@ -205,15 +214,23 @@
     };
     let head = String::from_utf8_lossy(&pending[..end]).into_owned();
     pending.drain(..end);
-    if value(&head, "transfer-encoding").is_some() {
-        return read_chunks(stream, pending).await.map(|body| (head, body));
+    Some(head)
+}
+
+async fn read_body(
+    stream: &mut tokio::net::TcpStream,
+    pending: &mut Vec<u8>,
+    head: &str,
+) -> Option<Vec<u8>> {
+    if value(head, "transfer-encoding").is_some() {
+        return read_chunks(stream, pending).await;
     }
     let length: usize =
-        value(&head, "content-length").map_or(0, |text| text.parse().expect("length"));
+        value(head, "content-length").map_or(0, |text| text.parse().expect("length"));
     while pending.len() < length {
         read_more(stream, pending).await?;
     }
-    Some((head, pending.drain(..length).collect()))
+    Some(pending.drain(..length).collect())
 }
 
 async fn read_chunks(stream: &mut tokio::net::TcpStream, pending: &mut Vec<u8>) -> Option<Vec<u8>> {
