Leave time to other tasks while a peer floods a connection

Cause: the HTTP library parses as long as bytes arrive. Chunk sizes of endless zeros from one caller kept the process busy for good: its request had a time limit, but the runtime did not come to its timers (no answer within 9 s). Informational responses without end from one target delayed other requests by 3.4 s (unoptimized build).

Change: reads of callers and targets pause after 64 KiB in a row, in a way that lets the runtime look at timers and sockets first. Of a response 256 KiB may arrive before its head is complete.

Ruled out: a wake-up at once in place of the pause, as the runtime looks at its timers once in 61 polls only (answers still late).

--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -7,10 +7,10 @@
 
 use hyper_util::rt;
 
-use super::caller_stream;
 use super::error;
 use super::pipeline;
 use super::state;
+use super::stream;
 
 /// Smallest read buffer of a caller's connection; the HTTP library needs 8 KiB.
 const MIN_BUFFER_BYTES: usize = 16 * 1_024;
@@ -54,7 +54,7 @@
             .rules()
             .map_or_else(Default::default, |rules| rules.limits)
     };
-    let stream = caller_stream::CallerStream::new(stream);
+    let stream = stream::Stream::new(stream);
     let caller = stream.clone();
     let service = hyper::service::service_fn(move |request| {
         let state = sync::Arc::clone(&state);
--- a/crates/host/src/connections.rs
+++ b/crates/host/src/connections.rs
@@ -12,6 +12,7 @@
 use skylark_wire::http;
 
 use super::body;
+use super::stream;
 
 /// Longest time for which an idle connection is pooled, also where the target states none.
 const MAX_IDLE_TIME: time::Duration = time::Duration::from_secs(8);
@@ -28,6 +29,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: http1::SendRequest<body::Forwarded>,
+    /// Limit of the bytes that the target may send before the head of its response is complete.
+    pub(crate) head_limit: stream::HeadLimit,
     driver: tokio::task::JoinHandle<()>,
     used: bool,
 }
@@ -140,6 +143,8 @@
         .with_interval(http::KEEPALIVE_INTERVAL)
         .with_retries(http::MAX_KEEPALIVE_PROBES);
     socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+    let stream = stream::Stream::new(stream);
+    let head_limit = stream.head_limit();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(rt::TokioIo::new(stream))
@@ -152,6 +157,7 @@
     });
     Ok(Connection {
         sender,
+        head_limit,
         driver,
         used: false,
     })
--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -154,6 +154,7 @@
         ));
     };
     let outgoing = build_request(pick, request, remaining.saturating_sub(RETURN_MARGIN), body);
+    connection.head_limit.reset();
     let exchange = connection.sender.try_send_request(outgoing);
     let response = match tokio::time::timeout(remaining, exchange).await {
         Err(_elapsed) => {
@@ -174,6 +175,7 @@
         }
         Ok(Ok(response)) => response,
     };
+    connection.head_limit.lift();
     Some(receive(state, pick, request, response, connection).await)
 }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,7 +1,6 @@
 //! Entry host, look-up and control of one host in one process, on the users' platform.
 
 mod body;
-mod caller_stream;
 mod callers;
 mod cluster;
 mod connections;
@@ -21,6 +20,7 @@
 mod reports;
 mod response;
 mod state;
+mod stream;
 mod tokens;
 
 use std::io::Write as _;
