Spread large configurations through a zone without filling one link

Drained targets waited behind, as one question asked for both tables.

Change: answers between hosts are compressed. At most 192 KiB of answers over 16 KiB are on their way from a host, further askers get 503 and find others that have the changes by then. Each table is asked for by itself, and hosts begin with different sources. Hosts of the previous build are still answered, and asked. Adding a route no longer sorts all routes (quadratic in their number).

Ruled out: the store (read 0.9 s after the version was sent) and processor time (the reader had the version in force at once).

peers.rs is split: addresses (contacts), questions (pull), answers (peers).

--- a/crates/core/src/traffic/rules.rs
+++ b/crates/core/src/traffic/rules.rs
@@ -41,8 +41,9 @@
     /// Adds a route for a host name.
     pub fn add_route(&mut self, host: &str, route: route::Route) {
         let routes = self.routes.entry(host.to_ascii_lowercase()).or_default();
-        routes.push(sync::Arc::new(route));
-        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        let length = route.prefix.len();
+        let position = routes.partition_point(|other| other.prefix.len() >= length);
+        routes.insert(position, sync::Arc::new(route));
     }
 
     /// Finds the route and the client account of a request.
--- a/crates/host/src/feed.rs
+++ b/crates/host/src/feed.rs
@@ -178,7 +178,7 @@
             continue;
         }
         match bincode::deserialize::<HostRow>(&value) {
-            Ok(row) => state.peers.add(row.control),
+            Ok(row) => state.contacts.add(row.control),
             Err(error) => {
                 log::warn!(host = other.key.as_str(), error:% = error; "host row rejected; ignoring its address");
             }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod cluster;
 mod connections;
+mod contacts;
 mod download;
 mod error;
 mod exchange;
@@ -16,6 +17,7 @@
 mod observer;
 mod peers;
 mod pipeline;
+mod pull;
 mod queue;
 mod readiness;
 mod reload;
@@ -143,8 +145,12 @@
     }
     let shared = sync::Arc::clone(state);
     tasks.spawn("hosts", move || feed::register(sync::Arc::clone(&shared)));
-    let shared = sync::Arc::clone(state);
-    tasks.spawn("catch up", move || peers::pull(sync::Arc::clone(&shared)));
+    for table in feed::WATCHED {
+        let shared = sync::Arc::clone(state);
+        tasks.spawn("catch up", move || {
+            pull::run(table, sync::Arc::clone(&shared))
+        });
+    }
     let shared = sync::Arc::clone(state);
     tasks.spawn("line", move || queue::run(sync::Arc::clone(&shared)));
     let shared = sync::Arc::clone(state);
--- a/crates/host/src/listeners.rs
+++ b/crates/host/src/listeners.rs
@@ -10,8 +10,12 @@
 
 use skylark_platform::settings;
 
+use super::body;
 use super::error;
 
+/// Buffer of a connection; a body is released as it leaves, not when it is copied to a buffer.
+const BUFFER_BYTES: usize = 16 * 1_024;
+
 /// Listening sockets of the process, bound once, so that a restarted task keeps its port.
 #[derive(Debug)]
 pub(crate) struct Sockets {
@@ -58,7 +62,7 @@
 }
 
 /// A response with a complete body.
-pub(crate) type Response = hyper::Response<http_body_util::Full<Bytes>>;
+pub(crate) type Response = hyper::Response<body::Forwarded>;
 
 /// Serves requests on a listener until the task is dropped.
 pub(crate) async fn serve<F, R>(
@@ -81,7 +85,8 @@
                 let reply = respond(request);
                 async move { Ok::<_, convert::Infallible>(reply.await) }
             });
-            let http = hyper::server::conn::http1::Builder::new();
+            let mut http = hyper::server::conn::http1::Builder::new();
+            http.max_buf_size(BUFFER_BYTES);
             let connection = http.serve_connection(rt::TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::debug!(listener = name, error:% = error; "connection ended with an error");
@@ -92,7 +97,7 @@
 
 /// Creates a response with a status, a content type and a body.
 pub(crate) fn response(status: hyper::StatusCode, media: &'static str, body: Vec<u8>) -> Response {
-    let mut response = hyper::Response::new(http_body_util::Full::new(Bytes::from(body)));
+    let mut response = hyper::Response::new(body::Forwarded::complete(Bytes::from(body)));
     *response.status_mut() = status;
     let media = hyper::header::HeaderValue::from_static(media);
     response
--- /dev/null
+++ b/crates/host/src/pull.rs
@@ -0,0 +1,165 @@
+//! Anti-entropy between hosts: a host pulls the table changes that it lacks from another host.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use skylark_core::traffic;
+use skylark_platform::store;
+use skylark_wire::http;
+
+use super::cluster;
+use super::error;
+use super::peers;
+use super::state;
+
+/// Time limit of a request to another host.
+const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Delay after a response, so that several changes come with the next one.
+const BATCH_DELAY: time::Duration = time::Duration::from_millis(60);
+/// Delay after a failed request.
+const RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
+/// Delay after a host had no room for one more answer; others get the changes meanwhile.
+const BUSY_DELAY: time::Duration = time::Duration::from_millis(80);
+
+/// Result of a question for table changes.
+type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
+
+/// Wakes the tasks that pull changes, one for each table.
+///
+/// Each table is pulled by itself, so that drained targets do not wait behind a large
+/// configuration.
+#[derive(Debug, Default)]
+pub(crate) struct Signals {
+    config: tokio::sync::Notify,
+    targets: tokio::sync::Notify,
+}
+
+impl Signals {
+    /// Wakes both tasks.
+    pub(crate) fn notify(&self) {
+        self.config.notify_one();
+        self.targets.notify_one();
+    }
+
+    const fn of(&self, table: store::Table) -> &tokio::sync::Notify {
+        match table {
+            store::Table::Targets => &self.targets,
+            store::Table::Config | store::Table::Hosts => &self.config,
+        }
+    }
+}
+
+/// The answer of another host.
+enum Answer {
+    Changes(peers::Delta),
+    /// The host has no room for one more answer.
+    Busy,
+}
+
+/// Pulls changes of a table whenever another host has newer ones, until the task is dropped.
+pub(crate) async fn run(table: store::Table, state: sync::Arc<state::State>) -> error::Result<()> {
+    let client = http::Client::new(REQUEST_TIMEOUT);
+    let signal = state.pulls.of(table);
+    // Hosts begin at different sources, so that they do not all ask the same one.
+    let mut turn = traffic::digest(state.identity.host.as_str());
+    loop {
+        signal.notified().await;
+        let sources = sources(table, &state);
+        let count = u32::try_from(sources.len()).unwrap_or(u32::MAX);
+        turn = turn.wrapping_add(1);
+        let position = turn.checked_rem(count).unwrap_or(0);
+        let Some(source) = usize::try_from(position).ok().and_then(|n| sources.get(n)) else {
+            continue;
+        };
+        let delay = match request(&client, *source, table, &state).await {
+            Ok(Answer::Changes(delta)) => {
+                apply(table, &state, *source, delta);
+                tokio::time::sleep(BATCH_DELAY).await;
+                continue;
+            }
+            Ok(Answer::Busy) => BUSY_DELAY,
+            Err(error) => {
+                log::info!(source:% = source, table = table.as_str(), error:% = error; "request for table changes failed; retrying");
+                RETRY_DELAY
+            }
+        };
+        tokio::time::sleep(delay).await;
+        signal.notify_one();
+    }
+}
+
+/// Returns the hosts to ask for changes: live hosts with a newer table, those of the own zone if
+/// there are any, and the seeds if no host is live.
+fn sources(table: store::Table, state: &state::State) -> Vec<net::SocketAddr> {
+    let now = state.clock.now();
+    let cluster = state.cluster();
+    let own = cluster.replica(table).version();
+    let live: Vec<&traffic::Member> = cluster.dispatcher().fleet().live(now).collect();
+    if live.is_empty() {
+        return state.contacts.seeds().to_vec();
+    }
+    let is_newer = |member: &&traffic::Member| match table {
+        store::Table::Targets => member.versions.targets > own,
+        store::Table::Config | store::Table::Hosts => member.versions.config > own,
+    };
+    let newer = live.into_iter().filter(is_newer);
+    let (near, far): (Vec<&traffic::Member>, Vec<&traffic::Member>) =
+        newer.partition(|member| member.zone == state.identity.zone);
+    let chosen = if near.is_empty() { far } else { near };
+    chosen
+        .into_iter()
+        .map(|member| member.control_address)
+        .collect()
+}
+
+/// Asks another host for the changes of one table.
+async fn request(
+    client: &http::Client,
+    source: net::SocketAddr,
+    table: store::Table,
+    state: &state::State,
+) -> Result<Answer> {
+    let own = state.cluster().replica(table).version();
+    // No change of the other table is newer than the largest version.
+    let (config, targets) = match table {
+        store::Table::Targets => (u64::MAX, own),
+        store::Table::Config | store::Table::Hosts => (own, u64::MAX),
+    };
+    let path = peers::PATH;
+    let request = hyper::Request::get(format!("http://{source}{path}?{config}-{targets}"))
+        .header(hyper::header::ACCEPT_ENCODING, peers::DEFLATE)
+        .body(http_body_util::Full::new(Bytes::new()))?;
+    let reply = client.call(request).await?;
+    match reply.status {
+        200 if reply.headers.contains_key(hyper::header::CONTENT_ENCODING) => {
+            Ok(Answer::Changes(peers::decompress(&reply.body)?))
+        }
+        // Hosts of the previous version do not compress.
+        200 => Ok(Answer::Changes(bincode::deserialize(&reply.body)?)),
+        503 => Ok(Answer::Busy),
+        status => Err(format!("the host answered with status {status}").into()),
+    }
+}
+
+fn apply(table: store::Table, state: &state::State, source: net::SocketAddr, delta: peers::Delta) {
+    let now = state.clock.now();
+    for host in delta.hosts {
+        state.contacts.add(host);
+    }
+    let table_delta = match table {
+        store::Table::Targets => delta.targets,
+        store::Table::Config | store::Table::Hosts => delta.config,
+    };
+    let origin = cluster::Source::Host(&delta.retained);
+    let mut cluster = state.cluster();
+    let (version, own) = (table_delta.version, cluster.replica(table).version());
+    if version > own {
+        cluster.apply(table, table_delta.changes, version, origin, now);
+        log::info!(table = table.as_str(), version, before = own, source:% = source; "table updated from another host");
+    }
+    drop(cluster);
+    state.changed.notify_one();
+    state.queue_changed.notify_one();
+}
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -57,7 +57,7 @@
         state.cluster().refresh(now);
         behind = if is_behind(&state) { behind + 1 } else { 0 };
         if behind >= PULL_AFTER_ROUNDS {
-            state.pull_needed.notify_one();
+            state.pulls.notify();
         }
         if is_changed {
             let gap = if is_small {
@@ -74,7 +74,7 @@
 async fn send_to_all(state: &state::State, now: instant::Instant) {
     let member = state.member();
     let report = state.cluster().dispatcher_mut().report(member, now);
-    let all = state.peers.due_for_report(|_address, _zone| true, now);
+    let all = state.contacts.due_for_report(|_address, _zone| true, now);
     send_message(state, &message::Message::Report(report), &all).await;
 }
 
@@ -150,7 +150,7 @@
                 .as_ref()
                 .is_none_or(|relays| relays.contains(&address))
     };
-    let direct = state.peers.due_for_report(is_near, now);
+    let direct = state.contacts.due_for_report(is_near, now);
     messages.push((message::Message::Report(report), direct));
     messages
 }
@@ -337,7 +337,7 @@
         let changes = cluster.dispatcher_mut().apply_view(view, now);
         let fleet = cluster.dispatcher().fleet();
         let live = fleet.live(now);
-        live.for_each(|member| state.peers.record_heard(member, now));
+        live.for_each(|member| state.contacts.record_heard(member, now));
         (changes, view_recipients(fleet, own, now))
     };
     record_all(state, &changes, now);
@@ -361,7 +361,7 @@
     change: traffic::MemberChange,
     now: instant::Instant,
 ) {
-    state.peers.record_heard(member, now);
+    state.contacts.record_heard(member, now);
     if change != traffic::MemberChange::Same {
         log::info!(host:% = member.host, phase:? = member.phase, life = member.incarnation, news:? = change; "host changed");
     }
@@ -373,6 +373,6 @@
         !cluster.is_store_reader() && member.versions.is_newer(cluster.versions())
     };
     if is_newer {
-        state.pull_needed.notify_one();
+        state.pulls.notify();
     }
 }
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -13,10 +13,12 @@
 
 use super::cluster;
 use super::connections;
+use super::contacts;
 use super::error;
 use super::memory;
 use super::metrics;
 use super::peers;
+use super::pull;
 use super::tokens;
 
 /// Longest time for which callers cache a look-up response; three of them fit in the usual
@@ -34,14 +36,16 @@
     pub(crate) identity: traffic::Identity,
     pub(crate) store: store::Client,
     pub(crate) connections: connections::Pool,
-    pub(crate) peers: peers::Contacts,
+    pub(crate) contacts: contacts::Contacts,
     /// UDP socket of the messages between hosts.
     pub(crate) reports: tokio::net::UdpSocket,
     pub(crate) pending_tokens: tokens::Pending,
     pub(crate) memory: memory::Budget,
     pub(crate) metrics: metrics::Metrics,
-    /// Wakes the task that pulls table changes from other hosts.
-    pub(crate) pull_needed: tokio::sync::Notify,
+    /// Answers to other hosts that are on their way.
+    pub(crate) transfers: memory::Budget,
+    /// Wakes the tasks that pull table changes from other hosts.
+    pub(crate) pulls: pull::Signals,
     /// Wakes the task that sends this host's changes to the others.
     pub(crate) changed: tokio::sync::Notify,
     /// Wakes the task that dispatches queued requests.
@@ -51,6 +55,7 @@
     settings: sync::Mutex<settings::Settings>,
     cluster: sync::Mutex<cluster::ClusterState>,
     stopping_since: sync::Mutex<Option<instant::Instant>>,
+    cached_answer: sync::Mutex<Option<peers::CachedAnswer>>,
 }
 
 impl State {
@@ -78,18 +83,20 @@
             identity,
             store: store::Client::new(),
             connections: connections::Pool::new(),
-            peers: peers::Contacts::new(&settings.seeds, settings.control),
+            contacts: contacts::Contacts::new(&settings.seeds, settings.control),
             reports,
             pending_tokens: tokens::Pending::default(),
-            memory: memory::Budget::default(),
+            memory: memory::Budget::new(memory::MAX_BODY_BYTES),
             metrics: metrics::Metrics::default(),
-            pull_needed: tokio::sync::Notify::new(),
+            transfers: memory::Budget::new(peers::MAX_BYTES_ON_THE_WAY),
+            pulls: pull::Signals::default(),
             changed: tokio::sync::Notify::new(),
             queue_changed: tokio::sync::Notify::new(),
             busy: atomic::AtomicUsize::new(0),
             settings: sync::Mutex::new(settings),
             cluster: sync::Mutex::new(cluster::ClusterState::new(dispatcher)),
             stopping_since: sync::Mutex::new(None),
+            cached_answer: sync::Mutex::new(None),
         })
     }
 
@@ -134,6 +141,16 @@
         *lock(&self.stopping_since)
     }
 
+    /// Returns the last compressed answer to another host.
+    pub(crate) fn cached_answer(&self) -> Option<peers::CachedAnswer> {
+        lock(&self.cached_answer).clone()
+    }
+
+    /// Keeps a compressed answer for further hosts.
+    pub(crate) fn cache_answer(&self, answer: peers::CachedAnswer) {
+        *lock(&self.cached_answer) = Some(answer);
+    }
+
     /// Returns the UDP port on which every host receives messages.
     pub(crate) fn report_port(&self) -> u16 {
         lock(&self.settings).report_port
--- a/crates/host/tests/common/host.rs
+++ b/crates/host/tests/common/host.rs
@@ -42,6 +42,7 @@
     pub(crate) callers: net::SocketAddr,
     pub(crate) readiness: net::SocketAddr,
     pub(crate) lookups: net::SocketAddr,
+    pub(crate) control: net::SocketAddr,
     pub(crate) metrics: net::SocketAddr,
 }
 
@@ -108,6 +109,7 @@
             callers,
             readiness,
             lookups,
+            control,
             metrics,
         }
     }
