Let all targets of a region divide the affinity keys

Cause: where the targets of each zone could keep all keys, each zone placed the keys on its own targets. So each key was cold once in every zone, and most cold answers are late.

Change: no zone comes first; the region's targets divide the keys.

Test: hosts_of_different_zones_select_the_same_target_for_a_key, seen to fail before.

--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -46,8 +46,6 @@
 const OTHER_REGION_CANDIDATES: usize = 2;
 /// Round-trip time assumed for a zone before the first connection to it.
 const DEFAULT_ROUND_TRIP: time::Duration = time::Duration::from_millis(10);
-/// Interval after which affinity keys without requests are forgotten.
-const KEY_PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(10);
 /// Ratio of a target's slots up to which it takes requests that would be late at their preferred target.
 const SPARE_SLOT_RATIO: f64 = 0.5;
 /// Demand per slot added to the measured demand, spread evenly over the zones.
@@ -99,7 +97,6 @@
     fleet: fleet::Fleet,
     crashes: crashes::Crashes,
     spillover: spillover::Spillover,
-    keys_pruned_at: instant::Instant,
 }
 
 impl<T> Dispatcher<T> {
@@ -121,7 +118,6 @@
             fleet,
             crashes: crashes::Crashes::default(),
             spillover: spillover::Spillover::default(),
-            keys_pruned_at: instant::Instant::ORIGIN,
         }
     }
 
@@ -338,10 +334,6 @@
             pool.retries.set_hosts(allowance, hosts);
             pool.update_typical_load(now);
         }
-        if now.since(self.keys_pruned_at) >= KEY_PRUNE_INTERVAL {
-            self.keys_pruned_at = now;
-            self.pools.values_mut().for_each(pool::Pool::prune_keys);
-        }
     }
 
     /// Selects the service for the next request of a route, by weighted round robin.
@@ -368,7 +360,7 @@
             let work = pool
                 .times(&request.route.name)
                 .expected(processing_time::Warmth::Known, request.route.objective);
-            pool.record_request(request.affinity_key, work, now);
+            pool.demand.add(work.as_secs_f64(), now);
             pool.retries.deposit();
         }
     }
@@ -636,12 +628,7 @@
             .into_iter()
             .filter(|region| request.allows_region(region));
         for (n, region) in allowed.enumerate() {
-            let order = pool.preference_order(
-                region,
-                &self.identity.zone,
-                &self.topology,
-                request.affinity_key,
-            );
+            let order = pool.preference_order(region, &self.topology, request.affinity_key);
             let usable = order.into_iter().filter(|position| {
                 let target = &pool.targets[*position].target;
                 target.state == target::TargetState::Ready
--- a/crates/core/src/traffic/pool.rs
+++ b/crates/core/src/traffic/pool.rs
@@ -14,10 +14,6 @@
 use super::target_status;
 use super::topology;
 
-/// Affinity keys that one target is assumed to keep warm, a low estimate; see docs/design.
-const WARM_KEYS_PER_TARGET: usize = 24;
-/// Largest number of distinct affinity keys to remember.
-const MAX_KEYS: usize = 4_096;
 /// Time constant of the measured demand.
 const DEMAND_TIME_CONSTANT: std::time::Duration = std::time::Duration::from_secs(2);
 
@@ -39,10 +35,6 @@
     /// Longest wait at a target that requests of each priority may add to.
     pub max_waits: collections::BTreeMap<u8, std::time::Duration>,
     times: collections::HashMap<String, processing_time::ProcessingTimes>,
-    /// Affinity keys with a request since the last but one call of `prune_keys`.
-    active_keys: collections::HashSet<hash::HashKey>,
-    /// Affinity keys with a request since the last call of `prune_keys`.
-    recent_keys: collections::HashSet<hash::HashKey>,
 }
 
 impl Pool {
@@ -58,8 +50,6 @@
             reported_demand: 0.0,
             max_waits: collections::BTreeMap::new(),
             times: collections::HashMap::new(),
-            active_keys: collections::HashSet::new(),
-            recent_keys: collections::HashSet::new(),
         }
     }
 
@@ -94,22 +84,6 @@
         }
     }
 
-    /// Records the affinity key of a request and its expected processing time.
-    pub fn record_request(
-        &mut self,
-        key: hash::HashKey,
-        processing: std::time::Duration,
-        now: instant::Instant,
-    ) {
-        self.demand.add(processing.as_secs_f64(), now);
-        if self.recent_keys.len() < MAX_KEYS {
-            self.recent_keys.insert(key);
-        }
-        if self.active_keys.len() < MAX_KEYS {
-            self.active_keys.insert(key);
-        }
-    }
-
     /// Recomputes the load to assume at targets whose observed load is old.
     pub fn update_typical_load(&mut self, now: instant::Instant) {
         let observations = || self.targets.iter().map(|status| status.observed_load(now));
@@ -121,74 +95,29 @@
             .for_each(|status| status.set_typical_load(typical));
     }
 
-    /// Forgets the affinity keys that had no request since the last call.
-    pub fn prune_keys(&mut self) {
-        self.active_keys = std::mem::take(&mut self.recent_keys);
-    }
-
     /// Returns the positions of a region's targets in the preference order of a key.
     ///
-    /// The order is by weighted rendezvous hashing. If the targets of each availability zone
-    /// can keep all active keys warm, the targets of one zone come first: this host's zone, or
-    /// in another region the key's zone by rendezvous hashing. Otherwise all targets of the
-    /// region divide the keys.
+    /// All targets of the region divide the keys, by weighted rendezvous hashing. A key's
+    /// requests from all availability zones meet at one target, so that each key is cold once in a
+    /// region, not once in each zone.
     #[must_use]
     pub fn preference_order(
         &self,
         region: &name::Region,
-        own: &name::Zone,
         topology: &topology::Topology,
         key: hash::HashKey,
     ) -> Vec<usize> {
-        let zone = self.preferred_zone(region, own, topology, key);
-        let mut ranked: Vec<(bool, f64, usize)> = self
+        let mut ranked: Vec<(f64, usize)> = self
             .targets
             .iter()
             .enumerate()
             .filter(|(_n, status)| topology.region(&status.target.zone) == Some(region))
             .map(|(n, status)| {
                 let weight = f64::from(status.target.slots);
-                let score = key.score(status.target.id.as_str(), weight);
-                (Some(&status.target.zone) != zone, score, n)
+                (key.score(status.target.id.as_str(), weight), n)
             })
             .collect();
-        ranked.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| b.1.total_cmp(&a.1)));
-        ranked
-            .into_iter()
-            .map(|(_is_other_zone, _score, n)| n)
-            .collect()
-    }
-
-    /// Returns the zone whose targets come first, if each zone can keep all active keys warm.
-    fn preferred_zone<'a>(
-        &self,
-        region: &'a name::Region,
-        own: &'a name::Zone,
-        topology: &'a topology::Topology,
-        key: hash::HashKey,
-    ) -> Option<&'a name::Zone> {
-        let zones: Vec<&'a name::Zone> = topology.zones(region).collect();
-        let count = |zone: &name::Zone| {
-            let here = self
-                .targets
-                .iter()
-                .filter(|status| status.target.zone == *zone);
-            here.count()
-        };
-        let keeps_all_keys =
-            |zone: &&name::Zone| self.active_keys.len() <= WARM_KEYS_PER_TARGET * count(zone);
-        if !zones.iter().all(keeps_all_keys) {
-            return None;
-        }
-        if zones.contains(&own) {
-            return Some(own);
-        }
-        let score = |zone: &&name::Zone| {
-            let targets = u32::try_from(count(zone)).unwrap_or(u32::MAX);
-            key.score(zone.as_str(), f64::from(targets))
-        };
-        zones
-            .into_iter()
-            .max_by(|a, b| score(a).total_cmp(&score(b)))
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        ranked.into_iter().map(|(_score, n)| n).collect()
     }
 }
--- a/crates/core/tests/traffic/placement.rs
+++ b/crates/core/tests/traffic/placement.rs
@@ -138,6 +138,16 @@
     assert_eq!(targets_of_keys(&mut first), targets_of_keys(&mut second));
 }
 
+/// Load pattern: callers of all zones of a region ask for the same cold keys at the start of a day.
+/// A key that is cold once in each zone makes twice as many answers late.
+#[test]
+fn hosts_of_different_zones_select_the_same_target_for_a_key() {
+    let targets = six_targets();
+    let mut first = common::dispatcher("h1", "a1", &targets);
+    let mut second = common::dispatcher("h2", "a2", &targets);
+    assert_eq!(targets_of_keys(&mut first), targets_of_keys(&mut second));
+}
+
 /// Returns the target of each key on idle targets.
 fn targets_of_keys(dispatcher: &mut common::Dispatcher) -> Vec<name::Target> {
     (0..KEYS)
