Run pipelined requests of a caller side by side

Cause: the HTTP library serves the requests of a connection one after another.

Change: what arrives behind a request is read ahead (16 KiB at most), and up to eight requests that may run more than once begin while those in front are served. Responses keep their order. A caller that leaves ends them all. During a planned stop none begins, and the connection is closed behind the last one that runs.

Ruled out: running orders early, as a response in front may close the connection and the caller then sends them again.

--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -1,16 +1,15 @@
 //! HTTP server for callers, and the drain before the process stops.
 
-use std::io;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use hyper_util::rt;
 
+use super::caller_stream;
+use super::connection;
 use super::error;
-use super::pipeline;
 use super::state;
-use super::stream;
 
 /// Smallest read buffer of a caller's connection; the HTTP library needs 8 KiB.
 const MIN_BUFFER_BYTES: usize = 16 * 1_024;
@@ -42,11 +41,11 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!(error:% = error; "TCP_NODELAY could not be set; small packets may be delayed");
         }
-        tokio::spawn(connection(stream, sync::Arc::clone(&state)));
+        tokio::spawn(serve_connection(stream, sync::Arc::clone(&state)));
     }
 }
 
-async fn connection(stream: tokio::net::TcpStream, state: sync::Arc<state::State>) {
+async fn serve_connection(stream: tokio::net::TcpStream, state: sync::Arc<state::State>) {
     let limits = {
         let cluster = state.cluster();
         cluster
@@ -54,18 +53,11 @@
             .rules()
             .map_or_else(Default::default, |rules| rules.limits)
     };
-    let stream = stream::Stream::new(stream);
-    let caller = stream.clone();
+    let stream = caller_stream::CallerStream::new(stream);
+    let connection = sync::Arc::new(connection::Connection::new(&state, &stream));
     let service = hyper::service::service_fn(move |request| {
-        let state = sync::Arc::clone(&state);
-        let caller = caller.clone();
-        async move {
-            tokio::select! {
-                biased;
-                response = pipeline::serve(state, request) => Ok(response),
-                () = caller.closed() => Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
-            }
-        }
+        let connection = sync::Arc::clone(&connection);
+        async move { connection.serve(request).await }
     });
     let idle = limits.idle_time.max(limits.head_time) + IDLE_MARGIN;
     let served = hyper::server::conn::http1::Builder::new()
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,8 +1,10 @@
 //! Entry host, look-up and control of one host in one process, on the users' platform.
 
 mod body;
+mod caller_stream;
 mod callers;
 mod cluster;
+mod connection;
 mod connections;
 mod contacts;
 mod download;
@@ -10,6 +12,7 @@
 mod exchange;
 mod feed;
 mod listeners;
+mod lookahead;
 mod lookups;
 mod memory;
 mod message;
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -102,21 +102,28 @@
     }
 }
 
-/// Serves one request of a caller.
+/// Returns whether a request may run more than once, by the route that it matches.
+pub(crate) fn is_idempotent(state: &state::State, parts: &hyper::http::request::Parts) -> bool {
+    let matched = match_route(state, parts, &mut RequestLog::default());
+    matched.is_ok_and(|(route, _account, _rules)| route.is_idempotent())
+}
+
+/// Serves one request of a caller; `body` is `None` for a request that is only its head.
 pub(crate) async fn serve(
     state: sync::Arc<state::State>,
-    request: hyper::Request<hyper::body::Incoming>,
+    parts: hyper::http::request::Parts,
+    body: Option<hyper::body::Incoming>,
 ) -> response::Response {
     state.busy.fetch_add(1, atomic::Ordering::Relaxed);
     let _active = ActiveRequest(sync::Arc::clone(&state));
     let arrived = state.clock.now();
     let mut entry = RequestLog {
-        id: header_text(request.headers(), header::REQUEST_ID.as_str()),
+        id: header_text(&parts.headers, header::REQUEST_ID.as_str()),
         ..RequestLog::default()
     };
-    let result = forward(&state, request, arrived, &mut entry).await;
+    let result = forward(&state, parts, body, arrived, &mut entry).await;
     let took = state.clock.now().since(arrived);
-    let mut response = match result {
+    match result {
         Ok(response) => {
             state.metrics.record_response(took);
             log_request(&entry, response.status().as_u16(), took, "answered");
@@ -137,14 +144,7 @@
                 &entry.id,
             )
         }
-    };
-    if state.stopping_since().is_some() {
-        let close = hyper::header::HeaderValue::from_static("close");
-        response
-            .headers_mut()
-            .insert(hyper::header::CONNECTION, close);
     }
-    response
 }
 
 fn log_request(entry: &RequestLog, status: u16, took: time::Duration, reason: &'static str) {
@@ -172,17 +172,19 @@
 
 async fn forward(
     state: &sync::Arc<state::State>,
-    request: hyper::Request<hyper::body::Incoming>,
+    parts: hyper::http::request::Parts,
+    body: Option<hyper::body::Incoming>,
     arrived: instant::Instant,
     entry: &mut RequestLog,
 ) -> Result<response::Response, Rejection> {
-    let (parts, incoming) = request.into_parts();
     let (route, account, rules) = match_route(state, &parts, entry)?;
     let limits = rules.limits;
     let deadline = header::deadline(&parts.headers).unwrap_or(DEFAULT_DEADLINE);
     let until = arrived + deadline.min(route.timeout);
     let is_over = |length: u64| length > limits.body_bytes;
-    let length = hyper::body::Body::size_hint(&incoming).exact();
+    let length = body
+        .as_ref()
+        .and_then(|body| hyper::body::Body::size_hint(body).exact());
     if length.is_some_and(is_over) {
         return Err(Rejection::new(
             kind::ErrorKind::TooLarge,
@@ -191,7 +193,10 @@
     }
     let timeout = until.since(state.clock.now());
     let mut reservation = state.memory.reserve();
-    let mut payload = read_body(incoming, timeout, limits.body_bytes, &mut reservation).await?;
+    let mut payload = match body {
+        Some(body) => read_body(body, timeout, limits.body_bytes, &mut reservation).await?,
+        None => exchange::Payload::Whole(bytes::Bytes::new()),
+    };
     let service = state.cluster().dispatcher_mut().choose_service(&route);
     let Some(service) = service else {
         return Err(Rejection::new(
--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -12,6 +12,8 @@
 /// Size of a long body that a host still buffers whole.
 pub(crate) const LONG_BYTES: usize = 250 * 1_024;
 
+/// Time that a slow target takes for a request.
+pub(crate) const SLOW_TIME: time::Duration = time::Duration::from_millis(600);
 /// Delay of a target that reads late.
 const READ_DELAY: time::Duration = time::Duration::from_secs(2);
 
@@ -35,6 +37,8 @@
     AnswerLong,
     /// Reads nothing from a new connection for a while.
     ReadLate,
+    /// Answers after a while.
+    AnswerSlowly,
     /// Answers after the head, and reads the body later.
     AnswerEarly,
 }
@@ -163,8 +167,11 @@
                 return;
             };
             self.record_request(&head, body, behavior);
+            if behavior == Behavior::AnswerSlowly {
+                tokio::time::sleep(SLOW_TIME).await;
+            }
             let answer = match behavior {
-                Behavior::Answer | Behavior::ReadLate => whole,
+                Behavior::Answer | Behavior::AnswerSlowly | Behavior::ReadLate => whole,
                 Behavior::RefuseToRun => format!(
                     "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
                      Content-Length: 0\r\n\r\n"
