Mend a cut at a planned stop, a trusted late copy and a lapsed share

Three of the failures that other operators saw, each shown by a test that failed: - A planned stop ended the process while a caller still read a long answer, as a request counted as done when its head was handed over (3.8 of 25 MB arrived). It now counts until its body has left. - On a connection that was used before, a late copy without an id that said 'not executed' was taken for the answer, and the order ran a second time (status 200 in place of 502). Answers without an id count only on new connections. - A suspended holder of a region's share granted tokens when it woke up, although another host held the share by then. Shares that were not computed for a second grant nothing.

Tests: a_planned_stop_cuts_no_answer_that_is_still_read, a_late_copy_of_an_answer_reaches_no_other_caller, a_suspended_holder_grants_nothing_before_it_has_heard_the_others.

--- a/crates/core/src/traffic/quotas.rs
+++ b/crates/core/src/traffic/quotas.rs
@@ -20,6 +20,10 @@
 const MAX_DEMAND_AGE: time::Duration = time::Duration::from_secs(5);
 /// Smallest demand to report, in requests per second.
 const MIN_REPORTED_DEMAND: f32 = 0.02;
+/// Time after which shares that were not computed again are no longer used to grant tokens.
+///
+/// A process that was suspended meanwhile may have lost a region's share to another holder.
+const MAX_SHARE_AGE: time::Duration = time::Duration::from_secs(1);
 /// Smallest burst per host, in tokens, for a limit to be divided among the hosts.
 const MIN_TOKENS_PER_HOST: u64 = 4;
 
@@ -33,6 +37,8 @@
 #[derive(Debug, Default)]
 pub struct Quotas {
     accounts: collections::HashMap<name::Account, AccountQuota>,
+    /// When the shares were last computed.
+    updated_at: instant::Instant,
 }
 
 /// A host's share of one account's limit.
@@ -119,6 +125,7 @@
 
     /// Recomputes this host's shares from the demand that the other hosts reported.
     pub(super) fn update_shares(&mut self, inputs: Inputs<'_>, now: instant::Instant) {
+        self.updated_at = now;
         let mut sums: collections::HashMap<u32, AccountDemand> = collections::HashMap::new();
         let identity = inputs.identity;
         let demands =
@@ -196,9 +203,11 @@
             return QuotaDecision::Admitted;
         };
         account_quota.own.count_request(now);
+        let has_lapsed = now.since(self.updated_at) > MAX_SHARE_AGE;
         let taken = match &mut account_quota.shared {
             None => account_quota.own.take_token(now),
             Some(shared) => match shared.holder {
+                Holder::Here if has_lapsed => Err(Self::UNANSWERED_DELAY),
                 Holder::Here => shared.quota.take_token(now),
                 Holder::At(host) => return QuotaDecision::AskHolder(host),
             },
@@ -216,6 +225,9 @@
         account: u32,
         now: instant::Instant,
     ) -> Result<(), time::Duration> {
+        if now.since(self.updated_at) > MAX_SHARE_AGE {
+            return Err(Self::UNANSWERED_DELAY);
+        }
         let shared = self.held_here(account).ok_or(Self::UNANSWERED_DELAY)?;
         shared.quota.take_token(now)
     }
--- a/crates/core/tests/traffic/shared_quotas.rs
+++ b/crates/core/tests/traffic/shared_quotas.rs
@@ -209,3 +209,37 @@
     quotas.return_token(digest);
     assert_eq!(draw(quotas), 2);
 }
+
+/// Load pattern: the holder of a share is suspended, another host takes over, and the first one
+/// wakes up with requests of before in its socket.
+#[test]
+fn a_suspended_holder_grants_nothing_before_it_has_heard_the_others() {
+    let mut cluster = Cluster::new();
+    cluster.run(10.0, 1, 20_000, 1);
+    let digest = traffic::digest(cluster.account.as_str());
+    let account = cluster.account.clone();
+    let is_holder = |cluster: &mut Cluster, n: usize, now| {
+        let quotas = cluster.dispatchers[n].quotas_mut();
+        quotas.grant_token(digest, common::at(now)).is_ok()
+    };
+    let suspended = (0..HOSTS)
+        .find(|n| is_holder(&mut cluster, *n, 20_000))
+        .expect("a holder");
+    cluster.failed.insert(suspended);
+    cluster.run(10.0, 20_000, 26_000, 2);
+    let others: Vec<usize> = (0..HOSTS).filter(|n| *n != suspended).collect();
+    assert!(others.iter().any(|n| is_holder(&mut cluster, *n, 26_000)));
+    assert!(!is_holder(&mut cluster, suspended, 26_000));
+    let quotas = cluster.dispatchers[suspended].quotas_mut();
+    let own = quotas.admit(&account, common::at(26_000));
+    assert!(matches!(own, traffic::QuotaDecision::Limited(_)), "{own:?}");
+    cluster.failed.clear();
+    cluster.exchange(26_250);
+    let quotas = cluster.dispatchers[suspended].quotas_mut();
+    let own = quotas.admit(&account, common::at(26_250));
+    assert_eq!(
+        own,
+        traffic::QuotaDecision::Admitted,
+        "it holds the share again"
+    );
+}
--- a/crates/host/src/body.rs
+++ b/crates/host/src/body.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 
+use super::active;
 use super::memory;
 use super::observer;
 use super::upload;
@@ -31,6 +32,8 @@
     reservation: Option<memory::Reservation>,
     /// Follows the tail.
     observer: Option<Box<observer::Observer>>,
+    /// Keeps the request active until the body has left.
+    _active: Option<active::ActiveRequest>,
 }
 
 /// Result of buffering a body.
@@ -53,6 +56,15 @@
             remaining: 0,
             reservation: None,
             observer: None,
+            _active: None,
+        }
+    }
+
+    /// Keeps the request active until the body has left.
+    pub(crate) fn with_active(self, active: active::ActiveRequest) -> Self {
+        Self {
+            _active: Some(active),
+            ..self
         }
     }
 
@@ -90,6 +102,7 @@
             remaining,
             reservation: None,
             observer: None,
+            _active: None,
         }
     }
 }
--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -223,8 +223,12 @@
     connection: connections::Connection,
 ) -> Outcome {
     let (mut parts, incoming) = response.into_parts();
-    let echoed_id = parts.headers.get(header::REQUEST_ID);
-    if echoed_id.is_some_and(|id| id != request.id.as_str()) {
+    // A late answer to an earlier request may arrive on a connection that was used before.
+    let is_own = match parts.headers.get(header::REQUEST_ID) {
+        Some(id) => id == request.id.as_str(),
+        None => request.id.is_empty() || !connection.is_used(),
+    };
+    if !is_own {
         return Outcome::without(
             traffic::AttemptResult::Disconnected,
             "response to another request",
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,5 +1,6 @@
 //! Entry host, look-up and control of one host in one process, on the users' platform.
 
+mod active;
 mod body;
 mod caller_stream;
 mod callers;
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -2,7 +2,6 @@
 
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use skylark_core::instant;
@@ -13,6 +12,7 @@
 use skylark_platform::header;
 use skylark_runtime::logs;
 
+use super::active;
 use super::body;
 use super::exchange;
 use super::memory;
@@ -72,15 +72,6 @@
     holder: Option<net::SocketAddr>,
 }
 
-/// Counts a request as active while it lives.
-struct ActiveRequest(sync::Arc<state::State>);
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.busy.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
-}
-
 /// Records the result of an attempt at a target when it is dropped.
 struct Attempt {
     state: sync::Arc<state::State>,
@@ -114,8 +105,7 @@
     parts: hyper::http::request::Parts,
     body: Option<hyper::body::Incoming>,
 ) -> response::Response {
-    state.busy.fetch_add(1, atomic::Ordering::Relaxed);
-    let _active = ActiveRequest(sync::Arc::clone(&state));
+    let active = active::ActiveRequest::new(&state);
     let arrived = state.clock.now();
     let mut entry = RequestLog {
         id: header_text(&parts.headers, header::REQUEST_ID.as_str()),
@@ -123,7 +113,7 @@
     };
     let result = forward(&state, parts, body, arrived, &mut entry).await;
     let took = state.clock.now().since(arrived);
-    match result {
+    let response = match result {
         Ok(response) => {
             state.metrics.record_response(took);
             log_request(&entry, response.status().as_u16(), took, "answered");
@@ -144,7 +134,8 @@
                 &entry.id,
             )
         }
-    }
+    };
+    response.map(|body| body.with_active(active))
 }
 
 fn log_request(entry: &RequestLog, status: u16, took: time::Duration, reason: &'static str) {
--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -12,6 +12,8 @@
 /// Size of a long body that a host still buffers whole.
 pub(crate) const LONG_BYTES: usize = 250 * 1_024;
 
+/// Size of a body that does not fit the buffers of host and sockets.
+pub(crate) const HUGE_BYTES: usize = 24 * 1_024 * 1_024;
 /// Time that a slow target takes for a request.
 pub(crate) const SLOW_TIME: time::Duration = time::Duration::from_millis(600);
 /// Delay of a target that reads late.
@@ -31,10 +33,16 @@
     Truncate,
     /// Sends its response twice.
     AnswerTwice,
+    /// Sends the answer to the previous request on the connection once more before its own.
+    RepeatPrevious,
+    /// Like `RepeatPrevious`, and the copy says that nothing ran, without an id.
+    RepeatRefusal,
     /// Answers 200 without a response stamp.
     OmitStamp,
     /// Sends a long body.
     AnswerLong,
+    /// Sends a body that a host passes on while it arrives.
+    AnswerHuge,
     /// Reads nothing from a new connection for a while.
     ReadLate,
     /// Answers after a while.
@@ -145,6 +153,7 @@
 
     async fn serve(&self, mut stream: tokio::net::TcpStream) {
         let mut pending = Vec::new();
+        let mut previous = String::new();
         if *self.behavior.lock().expect("behavior") == Behavior::ReadLate {
             tokio::time::sleep(READ_DELAY).await;
         }
@@ -191,6 +200,22 @@
                     return;
                 }
                 Behavior::AnswerTwice => whole.repeat(2),
+                Behavior::RepeatPrevious => {
+                    std::mem::replace(&mut previous, whole.clone()) + &whole
+                }
+                Behavior::RepeatRefusal => {
+                    let copy = std::mem::replace(
+                        &mut previous,
+                        "HTTP/1.1 503 Late\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                            .to_owned(),
+                    );
+                    copy + &whole
+                }
+                Behavior::AnswerHuge => format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s.{id}\r\n\
+                     Content-Length: {HUGE_BYTES}\r\n\r\n{}",
+                    "x".repeat(HUGE_BYTES)
+                ),
                 Behavior::AnswerLong => format!(
                     "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s.{id}\r\n\
                      Content-Length: {LONG_BYTES}\r\n\r\n{}",
--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -9,6 +9,8 @@
 use common::host;
 use common::store;
 use common::target;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 
 /// Starts a store with a configuration, and registered targets.
 async fn deployment(ids: &[&str]) -> (store::Store, Vec<target::Target>) {
@@ -187,6 +189,79 @@
     }
 }
 
+/// A target sends a copy of an answer late, when the connection is in use for the next request.
+#[tokio::test]
+async fn a_late_copy_of_an_answer_reaches_no_other_caller() {
+    for behavior in [
+        target::Behavior::RepeatPrevious,
+        target::Behavior::RepeatRefusal,
+    ] {
+        let (store, targets) = deployment(&["i-1"]).await;
+        let host = host::Host::start(&store).await;
+        targets[0].set_behavior(behavior);
+        for n in 0..12 {
+            let (method, path) = [("GET", "/look/x"), ("POST", "/order/x")][n % 2];
+            let id = format!("id-{n}");
+            let reply = host.request(method, path, &id).await;
+            match reply.status {
+                200 => assert_eq!(&*reply.body, format!("i-1 answered {id}").as_bytes()),
+                status => assert_eq!(status, 502, "{behavior:?} {method}"),
+            }
+            let runs = targets[0].heads();
+            let runs = runs
+                .iter()
+                .filter(|head| head.contains(&format!("equest-id: {id}\r")));
+            assert!(method == "GET" || runs.count() <= 1, "{behavior:?} {id}");
+        }
+    }
+}
+
+/// A caller still reads its answer when the time in which new callers may come is over.
+#[tokio::test]
+async fn a_planned_stop_cuts_no_answer_that_is_still_read() {
+    const READ_TIME: time::Duration = time::Duration::from_millis(5_200);
+    const PAUSE: time::Duration = time::Duration::from_millis(20);
+    let (store, targets) = deployment(&["i-1"]).await;
+    let rules =
+        host::configuration("0000000b", "/look/").replace("\"timeoutS\":4", "\"timeoutS\":9");
+    store.put("op", "config", &rules);
+    let host = host::Host::start(&store).await;
+    targets[0].set_behavior(target::Behavior::AnswerHuge);
+    let socket = tokio::net::TcpSocket::new_v4().expect("socket");
+    socket.set_recv_buffer_size(4_096).expect("buffer");
+    let mut stream = socket.connect(host.callers).await.expect("connect");
+    let head = common::raw::head("GET", "/look/x", "id-1", "Deadline-Ms: 9000\r\n");
+    stream.write_all(head.as_bytes()).await.expect("head");
+    common::eventually("the request runs", || async {
+        targets[0].heads().len() == 1
+    })
+    .await;
+    host.signal("-TERM");
+    let began = time::Instant::now();
+    let (mut received, mut buffer) = (0, vec![0; 256 * 1_024]);
+    let steps = u32::try_from(READ_TIME.as_millis() / PAUSE.as_millis()).expect("steps");
+    let share = target::HUGE_BYTES / steps as usize;
+    while received < target::HUGE_BYTES {
+        let wanted = if began.elapsed() < READ_TIME {
+            share.min(buffer.len())
+        } else {
+            buffer.len()
+        };
+        match stream.read(&mut buffer[..wanted]).await {
+            Ok(0) | Err(_) => break,
+            Ok(count) => received += count,
+        }
+        if began.elapsed() < READ_TIME {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+    assert!(
+        received >= target::HUGE_BYTES,
+        "{received} bytes of {}",
+        target::HUGE_BYTES
+    );
+}
+
 #[tokio::test]
 async fn a_caller_that_disconnects_cancels_the_exchange() {
     let (store, targets) = deployment(&["i-1"]).await;
