--- a/crates/core/src/traffic/fleet.rs
+++ b/crates/core/src/traffic/fleet.rs
@@ -1,6 +1,7 @@
 //! Membership and demand of the other entry hosts, as reported by them and by relays.
 
 use std::collections;
+use std::fmt;
 use std::time;
 
 use crate::instant;
@@ -74,6 +75,16 @@
     Same,
 }
 
+impl fmt::Display for MemberChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Joined => "joined",
+            Self::Changed => "changed",
+            Self::Same => "same",
+        })
+    }
+}
+
 impl Fleet {
     /// Silence after which a host counts as failed; more than three regular reports.
     pub const LIVENESS_TIMEOUT: time::Duration = time::Duration::from_millis(1_750);
--- a/crates/core/src/traffic/report.rs
+++ b/crates/core/src/traffic/report.rs
@@ -1,6 +1,7 @@
 //! The report that entry hosts send each other several times a second.
 
 use std::collections;
+use std::fmt;
 use std::net;
 use std::ops;
 
@@ -18,6 +19,16 @@
     Leaving,
 }
 
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Starting => "starting",
+            Self::Ready => "ready",
+            Self::Leaving => "leaving",
+        })
+    }
+}
+
 /// The versions of the store's tables that a host has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/core/src/traffic/target.rs
+++ b/crates/core/src/traffic/target.rs
@@ -1,5 +1,6 @@
 //! A target's description of itself.
 
+use std::fmt;
 use std::net;
 use std::time;
 
@@ -14,6 +15,15 @@
     Draining,
 }
 
+impl fmt::Display for TargetState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+        })
+    }
+}
+
 /// A target of a service, as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use hyper_util::rt;
+use skylark_runtime::field;
 
 use super::caller_stream;
 use super::connection;
@@ -76,14 +77,14 @@
     state.begin_stop();
     let began = state.clock.now();
     let grace = state.settings().grace_period;
-    log::info!(busy = state.busy.load(atomic::Ordering::Relaxed), grace:? = grace; "stop requested; draining");
+    log::info!(busy = state.busy.load(atomic::Ordering::Relaxed), grace:% = field::Millis(grace); "stop requested; draining");
     let max_time = grace.saturating_sub(EXIT_MARGIN);
     let min_time = (state.lookup_ttl() * DRAIN_LOOKUP_TTLS).min(max_time);
     loop {
         let passed = state.clock.now().since(began);
         let busy = state.busy.load(atomic::Ordering::Relaxed);
         if passed >= max_time || (passed >= min_time && busy == 0) {
-            log::info!(busy, passed:? = passed; "drain ended");
+            log::info!(busy, passed:% = field::Millis(passed); "drain ended");
             return;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -9,6 +9,7 @@
 use skylark_platform::config;
 use skylark_platform::store;
 use skylark_platform::target;
+use skylark_runtime::field;
 
 use super::queue;
 
@@ -21,6 +22,15 @@
     Host(&'a [name::Target]),
 }
 
+impl Source<'_> {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Host(_) => "host",
+        }
+    }
+}
+
 /// State of the cluster from the store and from other hosts.
 #[derive(Debug)]
 pub(crate) struct ClusterState {
@@ -231,7 +241,7 @@
                 }
             }
         }
-        log::info!(version = self.config.version(), zones:? = evacuated; "evacuated zones updated");
+        log::info!(version = self.config.version(), zones:% = field::List(&evacuated); "evacuated zones updated");
         self.dispatcher.set_closed(&evacuated, now);
         self.dispatcher.set_targets(&self.registry.targets(), now);
     }
@@ -256,7 +266,7 @@
             Ok(target) => {
                 log::info!(
                     target_id:% = target.id, row = row.version, service:% = target.service,
-                    zone:% = target.zone, state:? = target.state, cold:? = target.warmup_left;
+                    zone:% = target.zone, state:% = target.state, cold:% = field::Millis(target.warmup_left);
                     "target changed"
                 );
                 if !self.registry.put(target) {
@@ -273,7 +283,7 @@
     }
 
     fn remove_target(&mut self, row: &traffic::Row, source: Source<'_>, now: instant::Instant) {
-        log::info!(target_id = row.key.as_str(), row = row.version, source:? = source; "target no longer listed");
+        log::info!(target_id = row.key.as_str(), row = row.version, source = source.as_str(); "target no longer listed");
         if let Ok(id) = name::Target::new(&row.key) {
             let is_final = matches!(source, Source::Host(retained) if !retained.contains(&id));
             self.registry.remove(&id, is_final, now);
--- a/crates/host/src/lookups.rs
+++ b/crates/host/src/lookups.rs
@@ -4,6 +4,7 @@
 
 use skylark_core::traffic;
 use skylark_platform::lookup;
+use skylark_runtime::field;
 
 use super::error;
 use super::listeners;
@@ -36,7 +37,7 @@
     let region = region.or(caller.region.as_ref());
     let addresses = traffic::choose_hosts(hosts, dispatcher.topology(), zone, region);
     if addresses.is_empty() {
-        log::warn!(zone:? = zone; "no host is ready; look-up answered with 503");
+        log::warn!(zone:% = field::Optional(zone); "no host is ready; look-up answered with 503");
         let status = hyper::StatusCode::SERVICE_UNAVAILABLE;
         return listeners::response(status, "text/plain", Vec::new());
     }
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -10,6 +10,7 @@
 use skylark_core::secret;
 use skylark_core::traffic;
 use skylark_platform::header;
+use skylark_runtime::field;
 use skylark_runtime::logs;
 
 use super::active;
@@ -149,9 +150,11 @@
         target: if is_failed { logs::FAILED_REQUEST } else { logs::REQUEST },
         request = entry.id.as_str(), status, reason, route, account, rules = entry.rules,
         target_id = target, order = last.map_or(0, |pick| pick.preference),
-        warmth:? = last.map(|pick| pick.warmth),
-        load = last.map_or(0.0, |pick| pick.load), expected:? = last.map(|pick| pick.expected_latency),
-        sends = entry.picks.len(), waited = entry.waited, holder:? = entry.holder, took:? = took;
+        warmth = last.map_or("", |pick| pick.warmth.as_str()),
+        load = last.map_or(0.0, |pick| pick.load),
+        expected:% = field::Optional(last.map(|pick| field::Millis(pick.expected_latency))),
+        sends = entry.picks.len(), waited = entry.waited,
+        holder:% = field::Optional(entry.holder), took:% = field::Millis(took);
         "request"
     );
 }
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -364,7 +364,7 @@
 ) {
     state.contacts.record_heard(member, now);
     if change != traffic::MemberChange::Same {
-        log::info!(host:% = member.host, phase:? = member.phase, life = member.incarnation, news:? = change; "host changed");
+        log::info!(host:% = member.host, phase:% = member.phase, life = member.incarnation, news:% = change; "host changed");
     }
     if change == traffic::MemberChange::Joined {
         state.changed.notify_one();
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -10,6 +10,7 @@
 use skylark_platform::settings;
 use skylark_platform::store;
 use skylark_runtime::clock;
+use skylark_runtime::field;
 
 use super::cluster;
 use super::connections;
@@ -150,7 +151,7 @@
         let now = self.clock.now();
         let mut suspension = lock(&self.suspension);
         if let Some(gap) = suspension.observe(now, self.clock.boot_time()) {
-            log::warn!(gap:? = gap; "process was suspended; asking other hosts what changed");
+            log::warn!(gap:% = field::Millis(gap); "process was suspended; asking other hosts what changed");
             self.pulls.notify();
         }
         suspension.is_catching_up(now)
--- a/crates/host/tests/diagnosis.rs
+++ b/crates/host/tests/diagnosis.rs
@@ -51,7 +51,7 @@
     let host = host::Host::start(&store).await;
     assert_eq!(status_of(&host, "GET", "/look/x", "good").await, 200);
     target.register(&store, "draining");
-    host.wait_for_log(&["target changed", "i-1", "Draining"])
+    host.wait_for_log(&["target changed", "i-1", "state=draining"])
         .await;
     assert_eq!(status_of(&host, "GET", "/look/x", "refused").await, 503);
     let line = host
@@ -63,13 +63,19 @@
     let log = host.log();
     let before = log.split("request=refused").next().expect("before");
     let change = before.lines().rfind(|line| line.contains("target changed"));
-    assert_eq!(field(change.expect("a change"), "state"), "Draining");
+    assert_eq!(field(change.expect("a change"), "state"), "draining");
     let good = host
         .wait_for_log(&["event=\"request\"", "request=good"])
         .await;
     assert_eq!(field(&good, "rules"), field(&line, "rules"));
 }
 
+/// Returns the number of a field in milliseconds.
+fn millis(text: &str) -> f64 {
+    let number = text.strip_suffix("ms").expect("a unit");
+    number.parse().expect("a number")
+}
+
 #[tokio::test]
 async fn the_log_leads_from_a_timed_out_request_to_the_target_that_hung() {
     let (store, target) = deployment().await;
@@ -82,15 +88,11 @@
     assert_eq!(field(&line, "reason"), "no response in time");
     assert_eq!(field(&line, "sends"), "1");
     assert_eq!(field(&line, "target_id"), "i-1");
-    assert!(field(&line, "expected").starts_with("Some("));
-    let took = field(&line, "took");
-    let millis: f64 = took
-        .strip_suffix("ms")
-        .expect("ms")
-        .parse()
-        .expect("number");
+    assert!(millis(field(&line, "expected")) > 0.0);
+    assert_eq!(field(&line, "warmth"), "likely");
+    assert_eq!(field(&line, "holder"), "");
     let deadline: f64 = DEADLINE_MILLIS.parse().expect("number");
-    assert!(millis >= deadline * 0.9, "{took}");
+    assert!(millis(field(&line, "took")) >= deadline * 0.9, "{line}");
 }
 
 #[tokio::test]
@@ -110,7 +112,7 @@
     let of_target = host
         .wait_for_log(&["target changed", "target_id=i-1"])
         .await;
-    assert_eq!(field(&of_target, "state"), "Ready");
+    assert_eq!(field(&of_target, "state"), "ready");
 }
 
 /// Sends requests that match no route; returns their status codes.
--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -335,7 +335,7 @@
     host.wait_for_log(&["target entry rejected", "i-9", "address"])
         .await;
     targets[0].register(&store, "draining");
-    host.wait_for_log(&["target changed", "i-1", "Draining"])
+    host.wait_for_log(&["target changed", "i-1", "state=draining"])
         .await;
     let before = targets[0].heads().len();
     for n in 0..10 {
@@ -492,10 +492,10 @@
     let first = host::Host::start_named(store, "front-a1-1").await;
     let second = host::Host::start_named(store, "front-a1-2").await;
     first
-        .wait_for_log(&["host changed", "front-a1-2", "Ready"])
+        .wait_for_log(&["host changed", "host=front-a1-2", "phase=ready"])
         .await;
     second
-        .wait_for_log(&["host changed", "front-a1-1", "Ready"])
+        .wait_for_log(&["host changed", "host=front-a1-1", "phase=ready"])
         .await;
     [first, second]
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod daemon;
 pub mod error;
+pub mod field;
 pub mod identity;
 pub mod logs;
 pub mod metrics;
