Leave the store to one host of a zone before there is a configuration

Cause: a host read the store itself until it was in sync, which takes a configuration. Until the first one came, every host of a fleet polled both tables, and each of the targets that registered ended all polls.

Change: a host reads each table once, and then reads on only where it is its zone's reader, as before.

Test: hosts_without_a_configuration_leave_the_store_to_one_of_them, which waited in vain before.

--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -100,7 +100,7 @@
     /// Decides whether this host reads the store, or gets changes from its zone's reader.
     ///
     /// One host of a zone reads. The others read as well while that host is silent
-    /// or gets no response from the store.
+    /// or gets no response from the store, and each table once at their start.
     pub(crate) fn update_reader(
         &mut self,
         identity: &traffic::Identity,
@@ -108,7 +108,7 @@
     ) -> bool {
         let fleet = self.dispatcher.fleet();
         let is_reader =
-            !self.has_synced || !fleet.has_store_reader(&identity.zone, &identity.host, now);
+            !self.has_tables() || !fleet.has_store_reader(&identity.zone, &identity.host, now);
         if is_reader != self.is_reader {
             self.is_reader = is_reader;
             // Reachability from this host does not matter while another host reads the store.
@@ -119,6 +119,11 @@
         is_reader
     }
 
+    /// Returns whether each table was read once, from the store or from another host.
+    const fn has_tables(&self) -> bool {
+        self.config.version() > 0 && self.targets.version() > 0
+    }
+
     /// Returns whether the last request to the store succeeded for each table.
     pub(crate) fn store_access(&self) -> traffic::StoreAccess {
         if self.unreachable.is_empty() {
--- a/crates/host/tests/common/store.rs
+++ b/crates/host/tests/common/store.rs
@@ -30,6 +30,8 @@
     write_delay: time::Duration,
     /// Number of unresponsive periods; a poll that waited through one is never answered.
     outages: u64,
+    /// Reads and polls so far.
+    reads: usize,
     version: u64,
     rows: collections::BTreeMap<(String, String), (u64, Option<String>)>,
 }
@@ -53,6 +55,7 @@
                 mode: Mode::Serving,
                 write_delay: time::Duration::ZERO,
                 outages: 0,
+                reads: 0,
                 version: 0,
                 rows: collections::BTreeMap::new(),
             })),
@@ -79,6 +82,11 @@
         state.outages += u64::from(mode == Mode::Unresponsive);
     }
 
+    /// Returns the number of reads and polls so far.
+    pub(crate) fn reads(&self) -> usize {
+        self.lock().reads
+    }
+
     pub(crate) fn set_write_delay(&self, delay: time::Duration) {
         self.lock().write_delay = delay;
     }
@@ -128,8 +136,14 @@
             .map(|(name, value)| (name.to_owned(), value.to_owned()))
             .collect();
         match request.uri().path() {
-            "/api/rows-get" => self.rows(&query["table"], 0, false),
-            "/api/rows-feed" => self.poll(&query, outages).await,
+            "/api/rows-get" => {
+                self.lock().reads += 1;
+                self.rows(&query["table"], 0, false)
+            }
+            "/api/rows-feed" => {
+                self.lock().reads += 1;
+                self.poll(&query, outages).await
+            }
             "/api/rows-tx" => {
                 let delay = self.lock().write_delay;
                 tokio::time::sleep(delay).await;
--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -571,6 +571,52 @@
     other.wait_for_log(&["follows=true"]).await;
 }
 
+/// Load pattern: many hosts start together, and targets register before there is a configuration.
+///
+/// On the large fleet's quiet-1, 295 hosts called the store 2,831 times, most of it at the start.
+#[tokio::test]
+async fn hosts_without_a_configuration_leave_the_store_to_one_of_them() {
+    const HOSTS: usize = 4;
+    const CHANGES: usize = 20;
+    let store = store::Store::start().await;
+    let target = target::Target::start("i-1").await;
+    target.register(&store, "ready");
+    let names: Vec<String> = (0..HOSTS).map(|n| format!("front-a1-{n}")).collect();
+    let places = names.iter().map(|name| host::Place {
+        name,
+        zone: "a1",
+        region: "a",
+        store: store.address,
+    });
+    let hosts: Vec<host::Host> = places.map(host::Host::start_at).collect();
+    common::eventually("all hosts but one leave the store to it", || async {
+        let waiting = hosts
+            .iter()
+            .filter(|host| host.log().contains("follows=false"));
+        waiting.count() == HOSTS - 1
+    })
+    .await;
+    // The first change ends the polls that are still open.
+    target.register(&store, "draining");
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let before = store.reads();
+    for _n in 0..CHANGES {
+        target.register(&store, "ready");
+        tokio::time::sleep(time::Duration::from_millis(150)).await;
+    }
+    let reads = store.reads() - before;
+    assert!(reads <= 2 * CHANGES, "{reads} reads for {CHANGES} changes");
+    store.put("op", "config", &host::configuration("0000000a", "/look/"));
+    common::eventually("all hosts are ready", || async {
+        let ready = hosts.iter().map(host::Host::is_ready);
+        futures::future::join_all(ready)
+            .await
+            .into_iter()
+            .all(|is_ready| is_ready)
+    })
+    .await;
+}
+
 /// Guards against lost changes in a zone so large that hosts report to relays only, one of which
 /// fails.
 #[tokio::test]
