--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -608,8 +608,8 @@
     assert!(reads <= 2 * CHANGES, "{reads} reads for {CHANGES} changes");
     store.put("op", "config", &host::configuration("0000000a", "/look/"));
     common::eventually("all hosts are ready", || async {
-        let ready = hosts.iter().map(host::Host::is_ready);
-        futures::future::join_all(ready)
+        let answers = hosts.iter().map(host::Host::is_ready);
+        futures::future::join_all(answers)
             .await
             .into_iter()
             .all(|is_ready| is_ready)
