Log the epoch of the store at each table read

The logs could not tell a store that dropped its history (410, versions go on) from one that came back from an older copy (410, versions went back): both showed "the store has compacted these changes".

Change: the client reads the header `Store-Era`, and each reader logs when it differs from the answer before, with the version and the position it had asked from. No decision uses it yet.

--- a/crates/host/src/feed.rs
+++ b/crates/host/src/feed.rs
@@ -35,6 +35,7 @@
 ) -> error::Result<()> {
     let mut delay = MIN_RETRY_DELAY;
     let mut is_synced = false;
+    let mut epoch = None;
     loop {
         if !is_reader(&state) {
             is_synced = false;
@@ -57,6 +58,10 @@
         let now = state.clock.now();
         match reply {
             Ok(rows) => {
+                if rows.epoch != epoch {
+                    log::info!(table = table.as_str(), epoch:? = rows.epoch, before:? = epoch, version = rows.version, after; "store epoch changed");
+                    epoch = rows.epoch;
+                }
                 apply(&state, table, rows, is_delta);
                 if table == store::Table::Config {
                     state.record_evidence(asked_at);
