Let the tests' store come back from an older copy

The platform's store may come back from a copy: versions go back and are given out again, a read from a version that it lacks gets 410, and Store-Era rises. The test double had none of this, so no test could play it. It now names the era in every answer, refuses a poll from a version that it doesn't have, and restores a copy; polls that wait lose their connection, or are never answered if the store is unresponsive, as in an outage. A write's rows and its answer belong to one moment now, so that a return between them can't acknowledge what it lost.

Ruled out: an era only in successful answers, which would not show that hosts may meet it first in a 410 or 503.

--- a/crates/host/tests/common/store.rs
+++ b/crates/host/tests/common/store.rs
@@ -1,7 +1,7 @@
-//! Test double of the platform's store, which can be made unresponsive or unavailable.
+//! Test double of the platform's store, which can be made unresponsive or unavailable, and can
+//! come back from an older copy.
 
 use std::collections;
-use std::convert;
 use std::net;
 use std::sync;
 use std::time;
@@ -32,6 +32,14 @@
     outages: u64,
     /// Reads and polls so far.
     reads: usize,
+    /// Number of returns from a copy, and 1.
+    era: u64,
+    contents: Contents,
+}
+
+/// The rows of the store, and their newest version.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Contents {
     version: u64,
     rows: collections::BTreeMap<(String, String), (u64, Option<String>)>,
 }
@@ -44,6 +52,48 @@
 
 type Response = hyper::Response<http_body_util::Full<Bytes>>;
 
+impl State {
+    /// Returns an answer with the present era.
+    fn answer(&self, status: u16, value: &serde_json::Value) -> Response {
+        hyper::Response::builder()
+            .status(status)
+            .header("store-era", self.era)
+            .body(http_body_util::Full::new(Bytes::from(value.to_string())))
+            .expect("answer")
+    }
+
+    fn rows(&self, table: &str, after: u64, includes_removed: bool) -> Response {
+        let rows: Vec<serde_json::Value> = self
+            .contents
+            .rows
+            .iter()
+            .filter(|((of, _key), (version, _value))| of == table && *version > after)
+            .filter(|(_key, (_version, value))| includes_removed || value.is_some())
+            .map(|((of, key), (version, value))| {
+                serde_json::json!({"table": of, "part": "", "key": key, "value": value,
+                    "ver": version, "deleted": value.is_none()})
+            })
+            .collect();
+        let version = self.contents.version;
+        let answer =
+            serde_json::json!({"rows": rows, "hasMore": false, "ver": version, "nowS": 1.0});
+        self.answer(200, &answer)
+    }
+}
+
+impl Contents {
+    fn set(&mut self, table: &str, key: &str, value: Option<String>) {
+        self.version += 1;
+        let row = (self.version, value);
+        self.rows.insert((table.to_owned(), key.to_owned()), row);
+    }
+
+    fn has_changes(&self, table: &str, after: u64) -> bool {
+        let mut rows = self.rows.iter();
+        rows.any(|((of, _key), (version, _value))| of == table && *version > after)
+    }
+}
+
 impl Store {
     pub(crate) async fn start() -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
@@ -56,8 +106,8 @@
                 write_delay: time::Duration::ZERO,
                 outages: 0,
                 reads: 0,
-                version: 0,
-                rows: collections::BTreeMap::new(),
+                era: 1,
+                contents: Contents::default(),
             })),
         };
         let served = store.clone();
@@ -66,7 +116,7 @@
                 let store = served.clone();
                 let service = hyper::service::service_fn(move |request| {
                     let store = store.clone();
-                    async move { Ok::<_, convert::Infallible>(store.answer(request).await) }
+                    async move { store.answer(request).await }
                 });
                 let io = hyper_util::rt::TokioIo::new(stream);
                 let http = hyper::server::conn::http1::Builder::new();
@@ -91,6 +141,20 @@
         self.lock().write_delay = delay;
     }
 
+    /// Returns a copy of the rows and their version.
+    pub(crate) fn copy(&self) -> Contents {
+        self.lock().contents.clone()
+    }
+
+    /// Replaces the rows and their version by a copy; what was written since is lost.
+    ///
+    /// Polls that wait lose their connection, or are never answered if the store is unresponsive.
+    pub(crate) fn restore(&self, copy: &Contents) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.contents = copy.clone();
+    }
+
     pub(crate) fn put(&self, table: &str, key: &str, value: &str) {
         self.set(table, key, Some(BASE64_STANDARD.encode(value)));
     }
@@ -101,31 +165,31 @@
 
     pub(crate) fn keys(&self, table: &str) -> Vec<String> {
         let state = self.lock();
-        let rows = state.rows.iter().filter(|((of, _key), _row)| of == table);
+        let rows = state.contents.rows.iter();
+        let rows = rows.filter(|((of, _key), _row)| of == table);
         rows.map(|((_table, key), _row)| key.clone()).collect()
     }
 
     fn set(&self, table: &str, key: &str, value: Option<String>) {
-        let mut state = self.lock();
-        state.version += 1;
-        let version = state.version;
-        state
-            .rows
-            .insert((table.to_owned(), key.to_owned()), (version, value));
+        self.lock().contents.set(table, key, value);
     }
 
-    async fn answer(&self, request: hyper::Request<hyper::body::Incoming>) -> Response {
-        let (mode, outages) = {
+    /// Answers a request, or fails if its connection is to be closed.
+    async fn answer(
+        &self,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> std::io::Result<Response> {
+        let (mode, period) = {
             let state = self.lock();
-            (state.mode, state.outages)
+            (state.mode, (state.outages, state.era))
         };
         match mode {
             Mode::Compacted if request.uri().path() == "/api/rows-feed" => {
-                return json(410, &serde_json::json!({}));
+                return Ok(self.refuse(410));
             }
             Mode::Serving | Mode::Compacted => {}
             Mode::Unresponsive => return std::future::pending().await,
-            Mode::Unavailable => return json(503, &serde_json::json!({})),
+            Mode::Unavailable => return Ok(self.refuse(503)),
         }
         let query: collections::HashMap<String, String> = request
             .uri()
@@ -138,11 +202,11 @@
         match request.uri().path() {
             "/api/rows-get" => {
                 self.lock().reads += 1;
-                self.rows(&query["table"], 0, false)
+                Ok(self.lock().rows(&query["table"], 0, false))
             }
             "/api/rows-feed" => {
                 self.lock().reads += 1;
-                self.poll(&query, outages).await
+                self.poll(&query, period).await
             }
             "/api/rows-tx" => {
                 let delay = self.lock().write_delay;
@@ -154,56 +218,49 @@
                     .expect("body")
                     .to_bytes();
                 let call: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+                let mut state = self.lock();
                 for write in call["writes"].as_array().expect("writes") {
                     let text = |field: &str| write[field].as_str().expect("text").to_owned();
-                    self.set(&text("table"), &text("key"), Some(text("value")));
+                    let value = Some(text("value"));
+                    state.contents.set(&text("table"), &text("key"), value);
                 }
-                json(
-                    200,
-                    &serde_json::json!({"ver": self.lock().version, "nowS": 1.0}),
-                )
+                let answer = serde_json::json!({"ver": state.contents.version, "nowS": 1.0});
+                Ok(state.answer(200, &answer))
             }
-            _ => json(404, &serde_json::json!({})),
+            _ => Ok(self.refuse(404)),
         }
     }
 
-    async fn poll(&self, query: &collections::HashMap<String, String>, outages: u64) -> Response {
+    fn refuse(&self, status: u16) -> Response {
+        self.lock().answer(status, &serde_json::json!({}))
+    }
+
+    /// Answers a poll that arrived after a number of outages, in an era.
+    async fn poll(
+        &self,
+        query: &collections::HashMap<String, String>,
+        (outages, era): (u64, u64),
+    ) -> std::io::Result<Response> {
         let after: u64 = query["after"].parse().expect("version");
         let wait = time::Duration::from_millis(query["waitMs"].parse().expect("wait"));
         let began = time::Instant::now();
-        loop {
-            if self.lock().outages != outages {
-                return std::future::pending().await;
-            }
-            let is_changed = self.has_changes(&query["table"], after);
-            if is_changed || began.elapsed() >= wait {
-                return self.rows(&query["table"], after, true);
+        while self.lock().outages == outages {
+            {
+                let state = self.lock();
+                if state.era != era {
+                    return Err(std::io::ErrorKind::ConnectionReset.into());
+                }
+                if after > state.contents.version {
+                    return Ok(state.answer(410, &serde_json::json!({})));
+                }
+                let is_changed = state.contents.has_changes(&query["table"], after);
+                if is_changed || began.elapsed() >= wait {
+                    return Ok(state.rows(&query["table"], after, true));
+                }
             }
             tokio::time::sleep(time::Duration::from_millis(10)).await;
         }
-    }
-
-    fn has_changes(&self, table: &str, after: u64) -> bool {
-        let state = self.lock();
-        let mut rows = state.rows.iter();
-        rows.any(|((of, _key), (version, _value))| of == table && *version > after)
-    }
-
-    fn rows(&self, table: &str, after: u64, includes_removed: bool) -> Response {
-        let state = self.lock();
-        let rows: Vec<serde_json::Value> = state
-            .rows
-            .iter()
-            .filter(|((of, _key), (version, _value))| of == table && *version > after)
-            .filter(|(_key, (_version, value))| includes_removed || value.is_some())
-            .map(|((of, key), (version, value))| {
-                serde_json::json!({"table": of, "part": "", "key": key, "value": value,
-                    "ver": version, "deleted": value.is_none()})
-            })
-            .collect();
-        let answer =
-            serde_json::json!({"rows": rows, "hasMore": false, "ver": state.version, "nowS": 1.0});
-        json(200, &answer)
+        std::future::pending().await
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, State> {
@@ -212,10 +269,3 @@
             .expect("no test panics with the store locked")
     }
 }
-
-fn json(status: u16, value: &serde_json::Value) -> Response {
-    let mut answer =
-        hyper::Response::new(http_body_util::Full::new(Bytes::from(value.to_string())));
-    *answer.status_mut() = hyper::StatusCode::from_u16(status).expect("status");
-    answer
-}
