Order changes of the store by its epoch before its version

Cause: versions were taken for a history that only grows. A store that returns from an older copy gives versions out again. Hosts asked for changes after the version that they had; once the store had passed that number again, the changes in between were missed without a sign. Class: a counter compared across the epochs in which it counts.

Change: a position is an epoch and a version, ordered in that order, and takes the place of the version in replicas, rows, and all that hosts tell each other. Its number on the wire equals the bare version in the first epoch, so builds without epochs understand it until a first return. A second 410 in a row waits for the retry delay. Hosts write their own rows again.

The three new tests of positions and replicas do not compile without the type; the first fails if the epoch is left out of the order.

Ruled out: resetting replicas when versions go back (all hosts unready at once, removals forgotten); taking a lower version as the sign of a return (the numbers had met before the next poll).

--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -158,6 +158,12 @@
         if newest.is_some_and(|version| version >= rules.version) {
             return false;
         }
+        self.replace_rules(rules, now);
+        true
+    }
+
+    /// Puts rules in force whatever their version.
+    pub fn replace_rules(&mut self, rules: sync::Arc<rules::Rules>, now: instant::Instant) {
         let hosts = self.host_count(now);
         for (service, terms) in &rules.services {
             let limits = self.retry_limits;
@@ -172,7 +178,6 @@
         self.quotas.set_rules(&rules, self.peer_counts(now), now);
         self.rules = Some(rules);
         self.refresh(now);
-        true
     }
 
     /// Replaces the set of targets; targets that stay keep their state.
--- a/crates/core/src/traffic/replica.rs
+++ b/crates/core/src/traffic/replica.rs
@@ -1,7 +1,9 @@
-//! A replica of one table of the store whose version never decreases.
+//! A replica of one table of the store whose position never decreases.
 
 use std::collections;
 
+use super::position;
+
 /// Largest number of remembered removals, which deltas for other hosts contain.
 const MAX_REMOVALS: usize = 1_024;
 
@@ -11,8 +13,8 @@
 pub struct Row {
     /// Key of the row.
     pub key: String,
-    /// Version of the transaction that wrote or removed the row.
-    pub version: u64,
+    /// Position of the transaction that wrote or removed the row.
+    pub version: position::Position,
     /// Value of the row; `None` if it was removed.
     pub value: Option<Vec<u8>>,
 }
@@ -23,14 +25,14 @@
 /// repeated rows are ignored.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
-    version: u64,
-    /// Version of the newest known change.
-    newest_change: u64,
+    version: position::Position,
+    /// Position of the newest known change.
+    newest_change: position::Position,
     rows: collections::BTreeMap<String, Row>,
-    /// Version at which each removed row was removed.
-    removals: collections::BTreeMap<String, u64>,
-    /// Version after which every removal is remembered.
-    removals_since: u64,
+    /// Position at which each removed row was removed.
+    removals: collections::BTreeMap<String, position::Position>,
+    /// Position after which every removal is remembered.
+    removals_since: position::Position,
 }
 
 /// The changes that bring an older replica up to date.
@@ -44,15 +46,15 @@
 }
 
 impl Replica {
-    /// Returns the version up to which the replica is complete; 0 before the first snapshot.
+    /// Returns the position up to which the replica is complete; zero before the first snapshot.
     #[must_use]
-    pub const fn version(&self) -> u64 {
+    pub const fn version(&self) -> position::Position {
         self.version
     }
 
-    /// Returns the version of the newest known change, which other hosts need as well.
+    /// Returns the position of the newest known change, which other hosts need as well.
     #[must_use]
-    pub const fn newest_change(&self) -> u64 {
+    pub const fn newest_change(&self) -> position::Position {
         self.newest_change
     }
 
@@ -61,10 +63,13 @@
         self.rows.values()
     }
 
-    /// Returns the changes after a version of this table.
+    /// Returns the changes after a position of this table.
+    ///
+    /// A replica of an earlier epoch may hold rows of which this one never knew, so it gets all.
     #[must_use]
-    pub fn changes_since(&self, after: u64) -> Changes {
-        if after == 0 || after < self.removals_since {
+    pub fn changes_since(&self, after: position::Position) -> Changes {
+        let is_earlier_epoch = after.epoch() < self.version.epoch();
+        if after.is_zero() || after < self.removals_since || is_earlier_epoch {
             return Changes::Snapshot(self.rows.values().cloned().collect());
         }
         let changed = self.rows.values().filter(|row| row.version > after);
@@ -77,8 +82,8 @@
         Changes::Delta(changed.cloned().chain(removed).collect())
     }
 
-    /// Applies changes up to a version; returns those that were not known.
-    pub fn apply_changes(&mut self, rows: Vec<Row>, version: u64) -> Vec<Row> {
+    /// Applies changes up to a position; returns those that were not known.
+    pub fn apply_changes(&mut self, rows: Vec<Row>, version: position::Position) -> Vec<Row> {
         let applied: Vec<Row> = rows
             .into_iter()
             .filter(|row| row.version > self.version)
@@ -91,15 +96,15 @@
             }
         }
         self.record_removals(&applied);
-        if self.version == 0 {
+        if self.version.is_zero() {
             self.removals_since = version;
         }
         self.version = self.version.max(version);
         applied
     }
 
-    /// Applies a snapshot at a version; returns the changes, none for an older snapshot.
-    pub fn apply_snapshot(&mut self, rows: Vec<Row>, version: u64) -> Vec<Row> {
+    /// Applies a snapshot at a position; returns the changes, none for an older snapshot.
+    pub fn apply_snapshot(&mut self, rows: Vec<Row>, version: position::Position) -> Vec<Row> {
         if version < self.version {
             return Vec::new();
         }
@@ -118,7 +123,7 @@
             .collect();
         self.record_removals(&applied);
         self.rows = snapshot;
-        if self.version == 0 {
+        if self.version.is_zero() {
             self.removals_since = version;
         }
         self.version = version;
--- a/crates/core/src/traffic/report.rs
+++ b/crates/core/src/traffic/report.rs
@@ -7,6 +7,8 @@
 
 use crate::name;
 
+use super::position;
+
 /// The stage in the life cycle of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -29,20 +31,20 @@
     }
 }
 
-/// The versions of the store's tables that a host has.
+/// The positions of the store's tables that a host has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Versions {
-    /// Version of the operators' configuration rows.
-    pub config: u64,
-    /// Version of the targets' rows.
-    pub targets: u64,
+    /// Position of the operators' configuration rows.
+    pub config: position::Position,
+    /// Position of the targets' rows.
+    pub targets: position::Position,
 }
 
 impl Versions {
-    /// Returns whether either version is newer than in `other`.
+    /// Returns whether either position is newer than in `other`.
     #[must_use]
-    pub const fn is_newer(self, other: Self) -> bool {
+    pub fn is_newer(self, other: Self) -> bool {
         self.config > other.config || self.targets > other.targets
     }
 }
--- a/crates/core/tests/traffic/common.rs
+++ b/crates/core/tests/traffic/common.rs
@@ -158,7 +158,7 @@
 pub(crate) fn row(key: &str, version: u64, value: Option<&str>) -> traffic::Row {
     traffic::Row {
         key: key.to_owned(),
-        version,
+        version: version.into(),
         value: value.map(|text| text.as_bytes().to_vec()),
     }
 }
--- a/crates/core/tests/traffic/host_state.rs
+++ b/crates/core/tests/traffic/host_state.rs
@@ -14,33 +14,33 @@
     let mut replica = traffic::Replica::default();
     assert_eq!(
         replica
-            .apply_snapshot(vec![common::row("a", 5, Some("new"))], 7)
+            .apply_snapshot(vec![common::row("a", 5, Some("new"))], 7.into())
             .len(),
         1
     );
     assert!(
         replica
-            .apply_snapshot(vec![common::row("a", 3, Some("old"))], 6)
+            .apply_snapshot(vec![common::row("a", 3, Some("old"))], 6.into())
             .is_empty()
     );
     assert!(
         replica
-            .apply_changes(vec![common::row("a", 5, Some("new"))], 7)
+            .apply_changes(vec![common::row("a", 5, Some("new"))], 7.into())
             .is_empty()
     );
     assert!(
         replica
-            .apply_changes(vec![common::row("a", 4, None)], 7)
+            .apply_changes(vec![common::row("a", 4, None)], 7.into())
             .is_empty()
     );
     assert_eq!(replica.rows().count(), 1);
     assert_eq!(
         replica
-            .apply_changes(vec![common::row("a", 9, None)], 9)
+            .apply_changes(vec![common::row("a", 9, None)], 9.into())
             .len(),
         1
     );
-    assert_eq!(replica.version(), 9);
+    assert_eq!(replica.version(), 9.into());
     assert_eq!(replica.rows().count(), 0);
 }
 
@@ -52,12 +52,89 @@
             common::row("a", 1, Some("x")),
             common::row("b", 2, Some("y")),
         ],
-        2,
+        2.into(),
     );
-    let changes = replica.apply_snapshot(vec![common::row("b", 2, Some("y"))], 4);
+    let changes = replica.apply_snapshot(vec![common::row("b", 2, Some("y"))], 4.into());
     assert_eq!(changes, [common::row("a", 4, None)]);
 }
 
+/// Load pattern: the store returns from an older copy, in which versions have other contents.
+#[test]
+fn a_replica_follows_the_store_back_to_a_lower_version() {
+    for copy in [51, 52, 53, 54] {
+        let mut replica = traffic::Replica::default();
+        replica.apply_snapshot(
+            vec![
+                common::row("config", 53, Some("before")),
+                common::row("lost", 53, Some("x")),
+            ],
+            53.into(),
+        );
+        let mut row = common::row("config", copy, Some("after"));
+        row.version = traffic::Position::new(1, copy);
+        let version = row.version;
+        let changes = replica.apply_snapshot(vec![row.clone()], version);
+        assert!(changes.contains(&row), "copy at {copy}: {changes:?}");
+        assert_eq!(replica.rows().collect::<Vec<_>>(), [&row]);
+        assert_eq!(replica.version(), version);
+        assert_eq!(replica.newest_change(), version);
+        let late = common::row("config", 60, Some("before"));
+        assert!(replica.apply_changes(vec![late], 60.into()).is_empty());
+        assert_eq!(replica.version(), version);
+    }
+}
+
+#[test]
+fn a_replica_of_an_earlier_epoch_gets_all_rows() {
+    let mut source = traffic::Replica::default();
+    source.apply_snapshot(vec![common::row("a", 5, Some("x"))], 5.into());
+    let at = |version| traffic::Position::new(1, version);
+    let mut row = common::row("a", 0, Some("x"));
+    row.version = at(5);
+    source.apply_snapshot(vec![row.clone()], at(6));
+    let mut follower = traffic::Replica::default();
+    // A row that only the follower knew of before the store returned.
+    let rows = vec![
+        common::row("a", 5, Some("x")),
+        common::row("lost", 7, Some("y")),
+    ];
+    follower.apply_snapshot(rows, 7.into());
+    assert_eq!(
+        source.changes_since(follower.version()),
+        traffic::Changes::Snapshot(vec![row.clone()])
+    );
+    let changes = follower.apply_snapshot(vec![row], source.version());
+    assert!(
+        changes
+            .iter()
+            .any(|change| change.key == "lost" && change.value.is_none())
+    );
+    assert!(source.rows().eq(follower.rows()));
+}
+
+/// Hosts of builds without epochs exchange bare versions.
+#[test]
+fn positions_are_ordered_by_epoch_and_equal_bare_versions_in_the_first() {
+    arbtest::arbtest(|u| {
+        let max = (1 << 48) - 1;
+        let mut draw = || {
+            Ok::<_, arbtest::arbitrary::Error>((
+                u.int_in_range(0..=65_535)?,
+                u.int_in_range(0..=max)?,
+            ))
+        };
+        let ((e, v), (f, w)) = (draw()?, draw()?);
+        let (first, second) = (traffic::Position::new(e, v), traffic::Position::new(f, w));
+        assert_eq!(first.cmp(&second), (e, v).cmp(&(f, w)));
+        assert_eq!((first.epoch(), first.version()), (e, v));
+        assert_eq!(traffic::Position::from_number(first.number()), first);
+        assert_eq!(traffic::Position::new(0, v).number(), v);
+        Ok(())
+    });
+    let limited = traffic::Position::new(u64::MAX, u64::MAX);
+    assert_eq!(limited, traffic::Position::MAX);
+}
+
 #[test]
 fn rules_never_return_to_an_older_version() {
     let mut dispatcher = common::dispatcher("h1", "a1", &[]);
--- a/crates/core/tests/traffic/relays.rs
+++ b/crates/core/tests/traffic/relays.rs
@@ -218,14 +218,14 @@
             version += u.int_in_range(1..=3_u64)?;
             let key = ["x", "y", "z"][u.choose_index(3)?];
             let value = u.arbitrary::<bool>()?.then_some("v");
-            if source.version() == 0 || u.ratio(1, 5)? {
+            if source.version().is_zero() || u.ratio(1, 5)? {
                 let rows = value
                     .map(|_v| common::row(key, version, value))
                     .into_iter()
                     .collect();
-                source.apply_snapshot(rows, version);
+                source.apply_snapshot(rows, version.into());
             } else {
-                source.apply_changes(vec![common::row(key, version, value)], version);
+                source.apply_changes(vec![common::row(key, version, value)], version.into());
             }
             if u.arbitrary()? {
                 match source.changes_since(follower.version()) {
@@ -245,13 +245,16 @@
 #[test]
 fn a_replica_that_forgot_removals_returns_a_snapshot() {
     let mut source = traffic::Replica::default();
-    source.apply_snapshot(vec![common::row("kept", 1, Some("v"))], 1);
+    source.apply_snapshot(vec![common::row("kept", 1, Some("v"))], 1.into());
     for n in 0..2_000 {
-        source.apply_changes(vec![common::row(&format!("k{n}"), 2 + n, None)], 2 + n);
+        let removed = common::row(&format!("k{n}"), 2 + n, None);
+        source.apply_changes(vec![removed], (2 + n).into());
     }
-    assert!(matches!(source.changes_since(1), traffic::Changes::Snapshot(rows) if rows.len() == 1));
     assert!(
-        matches!(source.changes_since(1_999), traffic::Changes::Delta(rows) if rows.len() == 2)
+        matches!(source.changes_since(1.into()), traffic::Changes::Snapshot(rows) if rows.len() == 1)
+    );
+    assert!(
+        matches!(source.changes_since(1_999.into()), traffic::Changes::Delta(rows) if rows.len() == 2)
     );
 }
 
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -121,7 +121,7 @@
 
     /// Returns whether each table was read once, from the store or from another host.
     const fn has_tables(&self) -> bool {
-        self.config.version() > 0 && self.targets.version() > 0
+        !self.config.version().is_zero() && !self.targets.version().is_zero()
     }
 
     /// Returns whether the last request to the store succeeded for each table.
@@ -136,7 +136,7 @@
     /// Returns whether the host can serve: it has a configuration and targets, and its configuration
     /// has once been as new as that of every live host.
     pub(crate) fn is_synced(&mut self, now: instant::Instant) -> bool {
-        if self.dispatcher.rules().is_none() || self.targets.version() == 0 {
+        if self.dispatcher.rules().is_none() || self.targets.version().is_zero() {
             return false;
         }
         let own_version = self.config.version();
@@ -175,7 +175,7 @@
         &mut self,
         table: store::Table,
         changes: traffic::Changes,
-        version: u64,
+        version: traffic::Position,
         source: Source<'_>,
         now: instant::Instant,
     ) -> bool {
@@ -223,14 +223,14 @@
             match config::parse(bytes) {
                 Ok(config::Parsed { rules, warnings }) => {
                     for warning in &warnings {
-                        log::error!(row = row.version, error:% = warning; "part of the configuration not understood");
+                        log::error!(row:% = row.version, error:% = warning; "part of the configuration not understood");
                     }
                     let version = rules.version;
                     let is_new = self.dispatcher.set_rules(sync::Arc::new(rules), now);
-                    log::info!(version, row = row.version, in_force = is_new; "configuration read");
+                    log::info!(version, row:% = row.version, in_force = is_new; "configuration read");
                 }
                 Err(error) => {
-                    log::error!(row = row.version, error:% = error; "configuration rejected; keeping the previous one");
+                    log::error!(row:% = row.version, error:% = error; "configuration rejected; keeping the previous one");
                 }
             }
         }
@@ -242,11 +242,11 @@
                 }
                 Ok(None) => {}
                 Err(error) => {
-                    log::error!(row = row.version, error:% = error; "evacuation row rejected; ignoring it");
+                    log::error!(row:% = row.version, error:% = error; "evacuation row rejected; ignoring it");
                 }
             }
         }
-        log::info!(version = self.config.version(), zones:% = field::List(&evacuated); "evacuated zones updated");
+        log::info!(version:% = self.config.version(), zones:% = field::List(&evacuated); "evacuated zones updated");
         self.dispatcher.set_closed(&evacuated, now);
         self.dispatcher.set_targets(&self.registry.targets(), now);
     }
@@ -270,16 +270,16 @@
         match target::parse(&row.key, bytes) {
             Ok(target) => {
                 log::info!(
-                    target_id:% = target.id, row = row.version, service:% = target.service,
+                    target_id:% = target.id, row:% = row.version, service:% = target.service,
                     zone:% = target.zone, state:% = target.state, cold:% = field::Millis(target.warmup_left);
                     "target changed"
                 );
                 if !self.registry.put(target) {
-                    log::warn!(target_id = row.key.as_str(), row = row.version; "target entry of an earlier incarnation ignored");
+                    log::warn!(target_id = row.key.as_str(), row:% = row.version; "target entry of an earlier incarnation ignored");
                 }
             }
             Err(error) => {
-                log::warn!(target_id = row.key.as_str(), row = row.version, error:% = error; "target entry rejected; target removed");
+                log::warn!(target_id = row.key.as_str(), row:% = row.version, error:% = error; "target entry rejected; target removed");
                 if let Ok(id) = name::Target::new(&row.key) {
                     self.registry.discard(&id);
                 }
@@ -288,7 +288,7 @@
     }
 
     fn remove_target(&mut self, row: &traffic::Row, source: Source<'_>, now: instant::Instant) {
-        log::info!(target_id = row.key.as_str(), row = row.version, source = source.as_str(); "target no longer listed");
+        log::info!(target_id = row.key.as_str(), row:% = row.version, source = source.as_str(); "target no longer listed");
         if let Ok(id) = name::Target::new(&row.key) {
             let is_final = matches!(source, Source::Host(retained) if !retained.contains(&id));
             self.registry.remove(&id, is_final, now);
--- a/crates/host/src/feed.rs
+++ b/crates/host/src/feed.rs
@@ -35,7 +35,6 @@
 ) -> error::Result<()> {
     let mut delay = MIN_RETRY_DELAY;
     let mut is_synced = false;
-    let mut epoch = None;
     loop {
         if !is_reader(&state) {
             is_synced = false;
@@ -45,23 +44,27 @@
         let address = state.settings().store;
         let after = state.cluster().replica(table).version();
         state.metrics.record_store_call();
-        let is_delta = is_synced && after > 0;
+        let is_delta = is_synced && !after.is_zero();
         let asked_at = state.clock.now();
         let reply = if is_delta {
-            state
-                .store
-                .poll_changes(address, table, after, poll_wait(&state))
-                .await
+            let wait = poll_wait(&state);
+            tokio::select! {
+                reply = state.store.poll_changes(address, table, after, wait) => reply,
+                // A position of an earlier epoch may be valid again, with other changes before it.
+                () = state.newer_epoch(after.epoch()) => Err(skylark_platform::Error::Restored),
+            }
         } else {
             state.store.read_table(address, table).await
         };
         let now = state.clock.now();
         match reply {
+            Ok(rows) if rows.version.epoch() < state.store_epoch() => {
+                log::info!(table = table.as_str(), version:% = rows.version; "late answer of an earlier store epoch ignored");
+                is_synced = false;
+                tokio::time::sleep(delay).await;
+            }
             Ok(rows) => {
-                if rows.epoch != epoch {
-                    log::info!(table = table.as_str(), epoch:? = rows.epoch, before:? = epoch, version = rows.version, after; "store epoch changed");
-                    epoch = rows.epoch;
-                }
+                state.observe_epoch(rows.version.epoch());
                 apply(&state, table, rows, is_delta);
                 if table == store::Table::Config {
                     state.record_evidence(asked_at);
@@ -71,9 +74,12 @@
                 tokio::time::sleep(BATCH_DELAY).await;
             }
             Err(error) => {
-                let is_compacted = matches!(error, skylark_platform::Error::Compacted);
-                log::warn!(table = table.as_str(), after, error:% = error; "store request failed; retrying");
-                if is_compacted {
+                let is_gap = matches!(
+                    error,
+                    skylark_platform::Error::Compacted | skylark_platform::Error::Restored
+                );
+                log::warn!(table = table.as_str(), after:% = after, error:% = error; "store request failed; retrying");
+                if is_gap && is_synced {
                     is_synced = false;
                     continue;
                 }
@@ -124,7 +130,7 @@
     }
 }
 
-/// Writes this host's row, and reads the addresses of the other hosts.
+/// Writes this host's row and reads the addresses of the other hosts, in each epoch of the store.
 pub(crate) async fn register(state: sync::Arc<state::State>) -> error::Result<()> {
     let table = store::Table::Hosts;
     let own = state.member();
@@ -135,7 +141,11 @@
     loop {
         let address = state.settings().store;
         match publish_row(&state, address, &own, &row).await {
-            Ok(()) => break,
+            Ok(epoch) => {
+                delay = MIN_RETRY_DELAY;
+                // A store that returns from an older copy may have lost the row.
+                state.newer_epoch(epoch).await;
+            }
             Err(error) => {
                 log::warn!(table = table.as_str(), error:% = error; "store request failed; retrying");
                 tokio::time::sleep(delay).await;
@@ -143,8 +153,6 @@
             }
         }
     }
-    // A task that returns is restarted by the supervisor.
-    std::future::pending().await
 }
 
 /// Row of a host: the address at which hosts that start later find it.
@@ -154,30 +162,32 @@
 }
 
 /// Reads the other hosts' rows once more after writing the own row, so that of two hosts that
-/// start together at least one finds the other.
+/// start together at least one finds the other. Returns the store's epoch before the write.
 async fn publish_row(
     state: &state::State,
     address: std::net::SocketAddr,
     own: &traffic::Member,
     row: &[u8],
-) -> skylark_platform::Result<()> {
-    if !add_listed_hosts(state, address, own, row).await? {
+) -> skylark_platform::Result<u64> {
+    let (epoch, is_published) = add_listed_hosts(state, address, own, row).await?;
+    if !is_published {
         let table = store::Table::Hosts;
         let key = own.host.as_str();
         state.store.write_row(address, table, key, row).await?;
         add_listed_hosts(state, address, own, row).await?;
     }
     state.changed.notify_one();
-    Ok(())
+    Ok(epoch)
 }
 
-/// Adds the other hosts' addresses; returns whether this host's own row is up to date.
+/// Adds the other hosts' addresses; returns the store's epoch, and whether this host's own row is
+/// up to date.
 async fn add_listed_hosts(
     state: &state::State,
     address: std::net::SocketAddr,
     own: &traffic::Member,
     row: &[u8],
-) -> skylark_platform::Result<bool> {
+) -> skylark_platform::Result<(u64, bool)> {
     let listed = state.store.read_table(address, store::Table::Hosts).await?;
     let mut is_published = false;
     for other in listed.rows {
@@ -193,5 +203,5 @@
             }
         }
     }
-    Ok(is_published)
+    Ok((listed.version.epoch(), is_published))
 }
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -141,8 +141,9 @@
                 "skylark_host_busy_requests",
                 u64::try_from(busy).unwrap_or(u64::MAX),
             ),
-            ("skylark_host_orders_version", versions.config),
-            ("skylark_host_targets_version", versions.targets),
+            ("skylark_host_orders_version", versions.config.version()),
+            ("skylark_host_targets_version", versions.targets.version()),
+            ("skylark_host_store_epoch", state.store_epoch()),
             (
                 "skylark_host_heard_hosts",
                 u64::try_from(hosts).unwrap_or(u64::MAX),
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -45,15 +45,15 @@
     pub(crate) hosts: Vec<net::SocketAddr>,
 }
 
-/// Changes of one table since a version.
+/// Changes of one table since a position.
 #[derive(serde::Serialize, serde::Deserialize)]
 pub(crate) struct TableDelta {
-    pub(crate) version: u64,
+    pub(crate) version: traffic::Position,
     pub(crate) changes: traffic::Changes,
 }
 
 impl TableDelta {
-    fn new(replica: &traffic::Replica, after: u64) -> Self {
+    fn new(replica: &traffic::Replica, after: traffic::Position) -> Self {
         Self {
             version: replica.version(),
             changes: replica.changes_since(after),
@@ -134,12 +134,12 @@
     response
 }
 
-/// Parses the versions that the asking host has, `CONFIG-TARGETS`.
+/// Parses the positions that the asking host has, `CONFIG-TARGETS`.
 fn parse_versions(query: &str) -> Option<traffic::Versions> {
     let (config, targets) = query.split_once('-')?;
     Some(traffic::Versions {
-        config: config.parse().ok()?,
-        targets: targets.parse().ok()?,
+        config: traffic::Position::from_number(config.parse().ok()?),
+        targets: traffic::Position::from_number(targets.parse().ok()?),
     })
 }
 
--- a/crates/host/src/pull.rs
+++ b/crates/host/src/pull.rs
@@ -131,11 +131,12 @@
     state: &state::State,
 ) -> Result<Answer> {
     let own = state.cluster().replica(table).version();
-    // No change of the other table is newer than the largest version.
+    // No change of the other table is newer than the largest position.
     let (config, targets) = match table {
-        store::Table::Targets => (u64::MAX, own),
-        store::Table::Config | store::Table::Hosts => (own, u64::MAX),
+        store::Table::Targets => (traffic::Position::MAX, own),
+        store::Table::Config | store::Table::Hosts => (own, traffic::Position::MAX),
     };
+    let (config, targets) = (config.number(), targets.number());
     let path = peers::PATH;
     let request = hyper::Request::get(format!("http://{source}{path}?{config}-{targets}"))
         .header(hyper::header::ACCEPT_ENCODING, peers::DEFLATE)
@@ -162,11 +163,13 @@
         store::Table::Config | store::Table::Hosts => delta.config,
     };
     let origin = cluster::Source::Host(&delta.retained);
+    let version = table_delta.version;
+    state.observe_epoch(version.epoch());
     let mut cluster = state.cluster();
-    let (version, own) = (table_delta.version, cluster.replica(table).version());
+    let own = cluster.replica(table).version();
     if version > own {
         cluster.apply(table, table_delta.changes, version, origin, now);
-        log::info!(table = table.as_str(), version, before = own, source:% = source; "table updated from another host");
+        log::info!(table = table.as_str(), version:% = version, before:% = own, source:% = source; "table updated from another host");
     }
     drop(cluster);
     state.changed.notify_one();
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -237,7 +237,7 @@
     let cluster = state.cluster();
     let own = cluster.versions();
     let mut others = cluster.dispatcher().fleet().live(now);
-    let is_empty = own.config == 0 || own.targets == 0;
+    let is_empty = own.config.is_zero() || own.targets.is_zero();
     is_empty || others.any(|member| member.versions.is_newer(own))
 }
 
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -58,6 +58,8 @@
     stopping_since: sync::Mutex<Option<instant::Instant>>,
     suspension: sync::Mutex<traffic::Suspension>,
     cached_answer: sync::Mutex<Option<peers::CachedAnswer>>,
+    /// Newest known epoch of the store.
+    store_epoch: tokio::sync::watch::Sender<u64>,
 }
 
 impl State {
@@ -100,6 +102,7 @@
             stopping_since: sync::Mutex::new(None),
             suspension: sync::Mutex::default(),
             cached_answer: sync::Mutex::new(None),
+            store_epoch: tokio::sync::watch::Sender::new(0),
         })
     }
 
@@ -162,6 +165,30 @@
         lock(&self.suspension).record_evidence(asked_at);
     }
 
+    /// Returns the newest known epoch of the store.
+    pub(crate) fn store_epoch(&self) -> u64 {
+        *self.store_epoch.borrow()
+    }
+
+    /// Records an epoch of the store, seen in its answers or in those of other hosts.
+    pub(crate) fn observe_epoch(&self, epoch: u64) {
+        self.store_epoch.send_if_modified(|newest| {
+            let is_newer = epoch > *newest;
+            if is_newer {
+                log::warn!(epoch, before = *newest; "store returned from an older copy; reading all tables again");
+                *newest = epoch;
+            }
+            is_newer
+        });
+    }
+
+    /// Waits until a newer epoch of the store is known.
+    pub(crate) async fn newer_epoch(&self, epoch: u64) {
+        let mut epochs = self.store_epoch.subscribe();
+        // The sender lives as long as the state.
+        let _closed = epochs.wait_for(|newest| *newest > epoch).await.is_err();
+    }
+
     /// Returns the last compressed answer to another host.
     pub(crate) fn cached_answer(&self) -> Option<peers::CachedAnswer> {
         lock(&self.cached_answer).clone()
