Order what targets say of themselves by their own start and sequence

Cause: of a target's entry only its start was kept, its sequence number was read and thrown away, and a removal left no trace. Presence in the store's list counted as news.

Change: after a return an entry whose sequence is lower than the known one of the same run, or equal to that of a removed target, is set aside until the target registers again, or until the store would have dropped it (three heartbeats and the registration time; the heartbeat comes from the settings). What the copy leaves out is uncertain for the registration time on every host. Outside that time nothing changes.

Four new tests of the registry; three need the change to compile.

Ruled out: keeping removed targets out for good (an entry is not rewritten when only its sequence changes, so a target that lives on would never return).

--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -1,4 +1,4 @@
-//! The registered targets, including entries that expired during an outage of the store.
+//! The registered targets, including entries that a store outage or an older copy left out.
 
 use std::collections;
 use std::time;
@@ -13,21 +13,66 @@
 /// The platform guarantees this time.
 const REGISTRATION_TIME: time::Duration = time::Duration::from_millis(2_200);
 
-/// Number of remembered start times at which those of unlisted targets are dropped.
-const MAX_STARTS: usize = 16_384;
+/// Number of remembered descriptions at which those of unlisted targets are dropped.
+const MAX_DESCRIPTIONS: usize = 16_384;
+/// Heartbeats without which the store drops an entry.
+const MISSED_HEARTBEATS: u32 = 3;
+const DEFAULT_HEARTBEAT: time::Duration = time::Duration::from_millis(1_500);
 
-/// The registered targets, including entries that expired during an outage of the store.
+/// The registered targets, including entries that a store outage or an older copy left out.
 ///
 /// The store drops the entries of targets that cannot reach it. An entry that is missing
 /// during an outage or right after it is retained until the target had time to register
 /// again. A draining target is never retained.
-#[derive(Debug, Default)]
+///
+/// A store that returns from an older copy lists targets as they were. An entry that is older
+/// than what its target said of itself, or than its removal, is set aside until the target
+/// registers again, or until the store would have dropped it.
+#[derive(Debug)]
 pub struct Registry {
     entries: collections::BTreeMap<name::Target, Entry>,
-    starts: collections::HashMap<name::Target, u64>,
+    newest: collections::HashMap<name::Target, Description>,
+    /// Entries older than what is known of their targets.
+    outdated: collections::BTreeMap<name::Target, target::Target>,
+    /// When the store returned from an older copy, while its entries may be outdated.
+    restored_at: Option<instant::Instant>,
+    heartbeat: time::Duration,
     store: StoreReach,
 }
 
+/// The newest description of a target.
+#[derive(Clone, Copy, Debug)]
+struct Description {
+    started_millis: Option<u64>,
+    sequence: u64,
+    is_removed: bool,
+}
+
+impl Description {
+    /// Returns whether an entry is older than this description, or than the removal after it.
+    fn is_after(self, target: &target::Target) -> bool {
+        // Without the target's start, its numbers of two runs cannot be told apart.
+        let is_same_run =
+            target.started_millis.is_some() && target.started_millis == self.started_millis;
+        is_same_run
+            && (target.sequence < self.sequence
+                || self.is_removed && target.sequence == self.sequence)
+    }
+}
+
+impl Default for Registry {
+    fn default() -> Self {
+        Self {
+            entries: collections::BTreeMap::new(),
+            newest: collections::HashMap::new(),
+            outdated: collections::BTreeMap::new(),
+            restored_at: None,
+            heartbeat: DEFAULT_HEARTBEAT,
+            store: StoreReach::default(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     target: target::Target,
@@ -48,6 +93,23 @@
 }
 
 impl Registry {
+    /// Sets the time between two heartbeats of a target.
+    #[must_use]
+    pub const fn with_heartbeat(mut self, heartbeat: time::Duration) -> Self {
+        self.heartbeat = heartbeat;
+        self
+    }
+
+    /// Records that the store returned from an older copy.
+    ///
+    /// What the copy leaves out may have registered since, and what it lists may have left.
+    pub const fn restore(&mut self, now: instant::Instant) {
+        self.restored_at = Some(now);
+        if !matches!(self.store, StoreReach::Lost) {
+            self.store = StoreReach::Since(now);
+        }
+    }
+
     /// Sets whether the store is reachable; returns whether that changed.
     pub fn set_store_reachable(&mut self, is_reachable: bool, now: instant::Instant) -> bool {
         let before = self.store;
@@ -59,46 +121,90 @@
         (before == StoreReach::Lost) == is_reachable
     }
 
-    /// Adds or updates a target; returns false for an entry of an earlier run of its process.
+    /// Adds or updates a target; returns false for an entry that is older than what is known.
     pub fn put(&mut self, target: target::Target) -> bool {
-        if self.starts.len() >= MAX_STARTS {
+        if self.newest.len() >= MAX_DESCRIPTIONS {
             let entries = &self.entries;
-            self.starts.retain(|id, _started| entries.contains_key(id));
+            self.newest.retain(|id, _newest| entries.contains_key(id));
         }
-        if let Some(started) = target.started_millis {
-            let newest = self.starts.entry(target.id.clone()).or_insert(started);
-            if started < *newest {
-                return false;
-            }
-            *newest = started;
+        let newest = self.newest.get(&target.id).copied();
+        if newest.is_some_and(|newest| {
+            target.started_millis.is_some() && target.started_millis < newest.started_millis
+        }) {
+            return false;
+        }
+        if self.restored_at.is_some() && newest.is_some_and(|newest| newest.is_after(&target)) {
+            self.outdated.insert(target.id.clone(), target);
+            return false;
         }
+        self.accept(target);
+        true
+    }
+
+    fn accept(&mut self, target: target::Target) {
         let id = target.id.clone();
+        self.outdated.remove(&id);
+        let started_millis = target
+            .started_millis
+            .or_else(|| self.newest.get(&id)?.started_millis);
+        let description = Description {
+            started_millis,
+            sequence: target.sequence,
+            is_removed: false,
+        };
+        self.newest.insert(id.clone(), description);
         let entry = Entry {
             target,
             is_retained: false,
         };
         self.entries.insert(id, entry);
-        true
     }
 
     /// Removes a target that is no longer listed, unless its entry may have expired in an outage.
     ///
     /// `is_certain` is set if another host reports the removal and doesn't retain the entry.
     pub fn remove(&mut self, id: &name::Target, is_certain: bool, now: instant::Instant) {
+        self.outdated.remove(id);
         let entry = self.entries.get_mut(id);
         match entry.filter(|entry| entry.target.state == target::TargetState::Ready) {
             Some(entry) if !is_certain && !is_authoritative(self.store, now) => {
                 entry.is_retained = true;
             }
-            _ => {
-                self.entries.remove(id);
-            }
+            _ => self.drop_entry(id),
         }
     }
 
     /// Removes a target whose entry is not valid.
     pub fn discard(&mut self, id: &name::Target) {
+        self.outdated.remove(id);
+        self.drop_entry(id);
+    }
+
+    fn drop_entry(&mut self, id: &name::Target) {
         self.entries.remove(id);
+        if let Some(newest) = self.newest.get_mut(id) {
+            newest.is_removed = true;
+        }
+    }
+
+    /// Accepts and returns the outdated entries that the store still lists although it would have
+    /// dropped them if their targets were gone.
+    pub fn accept_outdated(&mut self, now: instant::Instant) -> Vec<name::Target> {
+        let silence = self.heartbeat * MISSED_HEARTBEATS + REGISTRATION_TIME;
+        if self.restored_at.is_none_or(|at| now.since(at) < silence) {
+            return Vec::new();
+        }
+        self.restored_at = None;
+        let mut outdated = std::mem::take(&mut self.outdated);
+        outdated.retain(|id, target| {
+            let known = self.entries.get(id);
+            known.is_none_or(|entry| entry.target.state != target.state)
+        });
+        let ids = outdated.keys().cloned().collect();
+        outdated
+            .into_values()
+            .for_each(|target| self.accept(target));
+        ids
     }
 
     /// Removes and returns the retained targets that did not register again in time.
@@ -108,9 +214,7 @@
         }
         let expired = self.entries.iter().filter(|(_id, entry)| entry.is_retained);
         let ids: Vec<name::Target> = expired.map(|(id, _entry)| id.clone()).collect();
-        for id in &ids {
-            self.entries.remove(id);
-        }
+        ids.iter().for_each(|id| self.drop_entry(id));
         ids
     }
 
--- a/crates/core/src/traffic/target.rs
+++ b/crates/core/src/traffic/target.rs
@@ -43,4 +43,6 @@
     pub warmup_left: time::Duration,
     /// Unix time of the target's start in milliseconds, if known.
     pub started_millis: Option<u64>,
+    /// Number of this description, which rises during one run of the target.
+    pub sequence: u64,
 }
--- a/crates/core/tests/traffic/common.rs
+++ b/crates/core/tests/traffic/common.rs
@@ -55,6 +55,7 @@
         state: traffic::TargetState::Ready,
         warmup_left: time::Duration::ZERO,
         started_millis: Some(1),
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/traffic/host_state.rs
+++ b/crates/core/tests/traffic/host_state.rs
@@ -260,6 +260,75 @@
     assert_eq!(registry.targets()[0].state, traffic::TargetState::Ready);
 }
 
+/// Load pattern: targets leave, and the store returns from a copy that lists them as ready.
+#[test]
+fn a_target_that_left_before_the_store_returned_is_used_only_when_it_registers_again() {
+    for leaves_by_draining in [true, false] {
+        let mut registry = traffic::Registry::default();
+        let copied = common::target("t0", "a1", 5);
+        registry.put(copied.clone());
+        if leaves_by_draining {
+            let mut draining = copied.clone();
+            draining.state = traffic::TargetState::Draining;
+            draining.sequence = 2;
+            assert!(registry.put(draining));
+        } else {
+            registry.remove(&copied.id, false, common::at(0));
+        }
+        registry.restore(common::at(1_000));
+        let is_ready = |registry: &traffic::Registry| {
+            let targets = registry.targets();
+            targets
+                .iter()
+                .any(|target| target.state == traffic::TargetState::Ready)
+        };
+        assert!(!registry.put(copied.clone()));
+        assert!(!is_ready(&registry));
+        assert!(registry.accept_outdated(common::at(7_600)).is_empty());
+        let mut again = copied.clone();
+        again.sequence = 3;
+        assert!(registry.put(again));
+        assert!(is_ready(&registry));
+        assert!(registry.accept_outdated(common::at(7_800)).is_empty());
+    }
+}
+
+/// A target that only lost its entry, for example, says nothing new of itself.
+#[test]
+fn a_target_that_stays_listed_after_the_store_returned_is_used_again() {
+    let mut registry = traffic::Registry::default();
+    let target = common::target("t0", "a1", 5);
+    registry.put(target.clone());
+    registry.remove(&target.id, false, common::at(0));
+    registry.restore(common::at(1_000));
+    assert!(!registry.put(target.clone()));
+    assert!(registry.accept_outdated(common::at(7_600)).is_empty());
+    assert_eq!(registry.accept_outdated(common::at(7_800)), [target.id]);
+    assert_eq!(registry.targets().len(), 1);
+}
+
+/// Load pattern: targets join, and the store returns from a copy from before.
+#[test]
+fn a_target_that_joined_before_the_store_returned_is_retained_for_the_registration_time() {
+    let mut registry = traffic::Registry::default();
+    let target = common::target("t0", "a1", 5);
+    registry.put(target.clone());
+    registry.restore(common::at(1_000));
+    registry.remove(&target.id, false, common::at(1_000));
+    assert_eq!(registry.retained(), [target.id.clone()]);
+    assert!(registry.expire(common::at(3_100)).is_empty());
+    assert_eq!(registry.expire(common::at(3_300)), [target.id]);
+}
+
+#[test]
+fn entries_are_not_held_back_while_the_store_keeps_its_epoch() {
+    let mut registry = traffic::Registry::default();
+    let target = common::target("t0", "a1", 5);
+    registry.put(target.clone());
+    registry.remove(&target.id, false, common::at(0));
+    assert!(registry.put(target));
+}
+
 fn host_count(fleet: &traffic::Fleet, now: u64, zone: &str) -> usize {
     let zone = common::zone(zone);
     let topology = common::topology();
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::time;
 
 use skylark_core::instant;
 use skylark_core::name;
@@ -46,12 +47,15 @@
 
 impl ClusterState {
     /// Creates the state of a host that has no configuration and no targets yet.
-    pub(crate) fn new(dispatcher: traffic::Dispatcher<queue::Waiter>) -> Self {
+    pub(crate) fn new(
+        dispatcher: traffic::Dispatcher<queue::Waiter>,
+        heartbeat: time::Duration,
+    ) -> Self {
         Self {
             dispatcher,
             config: traffic::Replica::default(),
             targets: traffic::Replica::default(),
-            registry: traffic::Registry::default(),
+            registry: traffic::Registry::default().with_heartbeat(heartbeat),
             unreachable: collections::HashSet::new(),
             has_synced: false,
             is_reader: true,
@@ -184,16 +188,23 @@
             store::Table::Targets => &mut self.targets,
             store::Table::Hosts => return false,
         };
+        let before = replica.version();
+        let is_new_epoch = !before.is_zero() && version.epoch() > before.epoch();
         let new_rows = match changes {
             traffic::Changes::Delta(rows) => replica.apply_changes(rows, version),
             traffic::Changes::Snapshot(rows) => replica.apply_snapshot(rows, version),
         };
+        // What a host of the new epoch does not list, it may never have known.
+        let is_final = !is_new_epoch;
+        if is_new_epoch && table == store::Table::Targets {
+            self.registry.restore(now);
+        }
         if new_rows.is_empty() {
-            return false;
+            return is_new_epoch;
         }
         match table {
             store::Table::Config => self.apply_config(&new_rows, now),
-            store::Table::Targets => self.apply_targets(&new_rows, source, now),
+            store::Table::Targets => self.apply_targets(&new_rows, source, is_final, now),
             store::Table::Hosts => {}
         }
         true
@@ -207,13 +218,17 @@
     /// Removes targets that were not listed again after a store outage, and updates shares.
     pub(crate) fn refresh(&mut self, now: instant::Instant) {
         let expired = self.registry.expire(now);
-        if expired.is_empty() {
+        let accepted = self.registry.accept_outdated(now);
+        if expired.is_empty() && accepted.is_empty() {
             self.dispatcher.refresh(now);
             return;
         }
         for id in &expired {
             log::info!(target_id:% = id; "target not listed again after the store outage; target removed");
         }
+        for id in &accepted {
+            log::info!(target_id:% = id; "target still listed after the store returned from an older copy; entry accepted");
+        }
         self.dispatcher.set_targets(&self.registry.targets(), now);
     }
 
@@ -255,12 +270,13 @@
         &mut self,
         new_rows: &[traffic::Row],
         source: Source<'_>,
+        is_final: bool,
         now: instant::Instant,
     ) {
         for row in new_rows {
             match &row.value {
                 Some(bytes) => self.put_target(row, bytes),
-                None => self.remove_target(row, source, now),
+                None => self.remove_target(row, source, is_final, now),
             }
         }
         self.dispatcher.set_targets(&self.registry.targets(), now);
@@ -275,7 +291,7 @@
                     "target changed"
                 );
                 if !self.registry.put(target) {
-                    log::warn!(target_id = row.key.as_str(), row:% = row.version; "target entry of an earlier incarnation ignored");
+                    log::warn!(target_id = row.key.as_str(), row:% = row.version; "target entry older than what is known of the target; ignored for now");
                 }
             }
             Err(error) => {
@@ -287,11 +303,18 @@
         }
     }
 
-    fn remove_target(&mut self, row: &traffic::Row, source: Source<'_>, now: instant::Instant) {
+    fn remove_target(
+        &mut self,
+        row: &traffic::Row,
+        source: Source<'_>,
+        is_final: bool,
+        now: instant::Instant,
+    ) {
         log::info!(target_id = row.key.as_str(), row:% = row.version, source = source.as_str(); "target no longer listed");
         if let Ok(id) = name::Target::new(&row.key) {
-            let is_final = matches!(source, Source::Host(retained) if !retained.contains(&id));
-            self.registry.remove(&id, is_final, now);
+            let is_certain =
+                is_final && matches!(source, Source::Host(retained) if !retained.contains(&id));
+            self.registry.remove(&id, is_certain, now);
         }
     }
 }
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -80,6 +80,7 @@
         };
         let dispatcher =
             traffic::Dispatcher::new(identity.clone(), settings.topology.clone(), settings.limits);
+        let cluster = cluster::ClusterState::new(dispatcher, settings.heartbeat);
         Ok(Self {
             path,
             clock: clock::Clock::new(),
@@ -98,7 +99,7 @@
             queue_changed: tokio::sync::Notify::new(),
             busy: atomic::AtomicUsize::new(0),
             settings: sync::Mutex::new(settings),
-            cluster: sync::Mutex::new(cluster::ClusterState::new(dispatcher)),
+            cluster: sync::Mutex::new(cluster),
             stopping_since: sync::Mutex::new(None),
             suspension: sync::Mutex::default(),
             cached_answer: sync::Mutex::new(None),
