Keep an evacuation that an older copy of the store lacks

Cause: an evacuation is the presence of a row, so a copy from before the order looks like its lift.

Change: after a return such a zone stays empty for 5 s, or until the order is written again; then the store's list counts. An order that only the copy has holds too: an empty zone costs room, a zone in use breaks the operator's work.

Evidence: two new tests of the core (they need the new type).

Not covered: a host that starts in these 5 s does not know of the lost order.

--- a/crates/core/tests/traffic/host_state.rs
+++ b/crates/core/tests/traffic/host_state.rs
@@ -320,6 +320,36 @@
     assert_eq!(registry.expire(common::at(3_300)), [target.id]);
 }
 
+/// Load pattern: a zone is emptied, and the store returns from a copy from before the order.
+#[test]
+fn a_zone_stays_empty_until_an_order_that_the_store_lost_is_written_again() {
+    let zones = |names: &[&str]| names.iter().map(|name| common::zone(name)).collect();
+    let mut evacuations = traffic::Evacuations::default();
+    evacuations.set_listed(zones(&["a1"]));
+    evacuations.restore(zones(&["b1"]), common::at(0));
+    assert_eq!(evacuations.zones(), zones(&["a1", "b1"]));
+    // A second return, before the order was written again.
+    evacuations.restore(zones(&[]), common::at(1_000));
+    assert_eq!(evacuations.zones(), zones(&["a1", "b1"]));
+    evacuations.set_listed(zones(&["a1"]));
+    assert!(evacuations.expire(common::at(5_900)).is_empty());
+    assert_eq!(evacuations.expire(common::at(6_100)), zones(&["b1"]));
+    assert_eq!(evacuations.zones(), zones(&["a1"]));
+    evacuations.set_listed(zones(&[]));
+    assert_eq!(evacuations.zones(), zones(&[]));
+}
+
+#[test]
+fn a_zone_is_used_again_once_its_evacuation_is_lifted_after_the_return() {
+    let zones = |names: &[&str]| names.iter().map(|name| common::zone(name)).collect();
+    let mut evacuations = traffic::Evacuations::default();
+    evacuations.set_listed(zones(&["a1"]));
+    evacuations.restore(zones(&[]), common::at(0));
+    evacuations.set_listed(zones(&["a1"]));
+    evacuations.set_listed(zones(&[]));
+    assert_eq!(evacuations.zones(), zones(&[]));
+}
+
 #[test]
 fn entries_are_not_held_back_while_the_store_keeps_its_epoch() {
     let mut registry = traffic::Registry::default();
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -39,6 +39,7 @@
     config: traffic::Replica,
     targets: traffic::Replica,
     registry: traffic::Registry,
+    evacuations: traffic::Evacuations,
     /// Tables whose last request to the store failed.
     unreachable: collections::HashSet<store::Table>,
     has_synced: bool,
@@ -56,6 +57,7 @@
             config: traffic::Replica::default(),
             targets: traffic::Replica::default(),
             registry: traffic::Registry::default().with_heartbeat(heartbeat),
+            evacuations: traffic::Evacuations::default(),
             unreachable: collections::HashSet::new(),
             has_synced: false,
             is_reader: true,
@@ -203,7 +205,7 @@
             return is_new_epoch;
         }
         match table {
-            store::Table::Config => self.apply_config(&new_rows, now),
+            store::Table::Config => self.apply_config(&new_rows, is_new_epoch, now),
             store::Table::Targets => self.apply_targets(&new_rows, source, is_final, now),
             store::Table::Hosts => {}
         }
@@ -215,8 +217,13 @@
         self.registry.retained()
     }
 
-    /// Removes targets that were not listed again after a store outage, and updates shares.
+    /// Ends what was kept for a time after a store outage or an older copy, and updates shares.
     pub(crate) fn refresh(&mut self, now: instant::Instant) {
+        let ended = self.evacuations.expire(now);
+        if !ended.is_empty() {
+            log::warn!(zones:% = field::List(&ended); "evacuation not ordered again after the store returned from an older copy; zone in use again");
+            self.dispatcher.set_closed(&self.evacuations.zones(), now);
+        }
         let expired = self.registry.expire(now);
         let accepted = self.registry.accept_outdated(now);
         if expired.is_empty() && accepted.is_empty() {
@@ -232,7 +239,12 @@
         self.dispatcher.set_targets(&self.registry.targets(), now);
     }
 
-    fn apply_config(&mut self, new_rows: &[traffic::Row], now: instant::Instant) {
+    fn apply_config(
+        &mut self,
+        new_rows: &[traffic::Row],
+        is_new_epoch: bool,
+        now: instant::Instant,
+    ) {
         for row in new_rows.iter().filter(|row| row.key == config::CONFIG_KEY) {
             let Some(bytes) = &row.value else { continue };
             match config::parse(bytes) {
@@ -261,8 +273,14 @@
                 }
             }
         }
-        log::info!(version:% = self.config.version(), zones:% = field::List(&evacuated); "evacuated zones updated");
-        self.dispatcher.set_closed(&evacuated, now);
+        if is_new_epoch {
+            self.evacuations.restore(evacuated, now);
+        } else {
+            self.evacuations.set_listed(evacuated);
+        }
+        let zones = self.evacuations.zones();
+        log::info!(version:% = self.config.version(), zones:% = field::List(&zones); "evacuated zones updated");
+        self.dispatcher.set_closed(&zones, now);
         self.dispatcher.set_targets(&self.registry.targets(), now);
     }
 
