Keep the accepted configuration when the store returns an older one

Cause: the row of the store stood for what is accepted. That holds within one epoch only.

Change: a host keeps the row of the configuration in force in its replica while the store has an older one, so others get it. A host that was not yet confirmed so tells nobody of a configuration. A version given out again with other contents after a return is taken; a lower version is logged and ignored.

Ruled out: ordering configurations by the store's position (the copy's row is newest there); a field in the hosts' reports (builds of an upgrade would drop each other's datagrams).

Limits: where every host that knew a version ended with the store's loss, nothing knows it until the operator writes it again. A host of an older build does not answer the question.

--- a/crates/core/src/traffic/replica.rs
+++ b/crates/core/src/traffic/replica.rs
@@ -58,6 +58,24 @@
         self.newest_change
     }
 
+    /// Returns a row.
+    #[must_use]
+    pub fn row(&self, key: &str) -> Option<&Row> {
+        self.rows.get(key)
+    }
+
+    /// Sets the value of a row whose newest content the store has lost; its position stays.
+    pub fn keep(&mut self, key: &str, value: Vec<u8>) {
+        let version = self.rows.get(key).map_or(self.version, |row| row.version);
+        let row = Row {
+            key: key.to_owned(),
+            version,
+            value: Some(value),
+        };
+        self.rows.insert(row.key.clone(), row);
+        self.removals.remove(key);
+    }
+
     /// Returns the rows in order of their keys.
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
         self.rows.values()
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -12,6 +12,7 @@
 use skylark_platform::target;
 use skylark_runtime::field;
 
+use super::peers;
 use super::queue;
 
 /// Where changes of a table come from.
@@ -44,6 +45,8 @@
     unreachable: collections::HashSet<store::Table>,
     has_synced: bool,
     is_reader: bool,
+    /// Whether other hosts were asked for a newer configuration than the store's.
+    is_confirmed: bool,
 }
 
 impl ClusterState {
@@ -61,6 +64,7 @@
             unreachable: collections::HashSet::new(),
             has_synced: false,
             is_reader: true,
+            is_confirmed: false,
         }
     }
 
@@ -92,12 +96,69 @@
 
     /// Returns the versions of the newest changes in the replicas, for other hosts to compare.
     pub(crate) const fn newest_changes(&self) -> traffic::Versions {
+        let config = if self.is_confirmed {
+            self.config.newest_change()
+        } else {
+            traffic::Position::ZERO
+        };
         traffic::Versions {
-            config: self.config.newest_change(),
+            config,
             targets: self.targets.newest_change(),
         }
     }
 
+    /// Returns the replica of a table that other hosts may read: none of a configuration that is
+    /// not confirmed.
+    pub(crate) fn confirmed_replica(&self, table: store::Table) -> Option<&traffic::Replica> {
+        let is_offered = table == store::Table::Targets || self.is_confirmed;
+        is_offered.then(|| self.replica(table))
+    }
+
+    /// Returns the version of the configuration that is in force, or else of that in the store.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        let in_force = self.dispatcher.rules().map(|rules| rules.version);
+        in_force.or_else(|| {
+            let row = self.config.row(config::CONFIG_KEY)?;
+            let parsed = config::parse(row.value.as_deref()?).ok()?;
+            Some(parsed.rules.version)
+        })
+    }
+
+    /// Puts the store's configuration in force after other hosts were asked for a newer one;
+    /// returns whether that is new.
+    pub(crate) fn confirm_config(&mut self, now: instant::Instant) -> bool {
+        let is_new = !self.is_confirmed;
+        self.is_confirmed = true;
+        if is_new {
+            let rows: Vec<traffic::Row> = self.config.rows().cloned().collect();
+            self.apply_config(&rows, None, false, now);
+        }
+        is_new
+    }
+
+    /// Takes another host's configuration if it is newer than the own one; returns whether it is.
+    pub(crate) fn offer_config(
+        &mut self,
+        delta: &peers::TableDelta,
+        now: instant::Instant,
+    ) -> bool {
+        let (traffic::Changes::Snapshot(rows) | traffic::Changes::Delta(rows)) = &delta.changes;
+        let mut configs = rows.iter().filter(|row| row.key == config::CONFIG_KEY);
+        let Some(bytes) = configs.next().and_then(|row| row.value.clone()) else {
+            return false;
+        };
+        let version = config::parse(&bytes).map(|parsed| parsed.rules.version);
+        if version.ok() <= self.config_version() {
+            return false;
+        }
+        self.config.keep(config::CONFIG_KEY, bytes);
+        if self.is_confirmed {
+            let row = self.config.row(config::CONFIG_KEY).cloned();
+            self.apply_config(row.as_slice(), None, false, now);
+        }
+        true
+    }
+
     /// Returns whether this host reads the store itself.
     pub(crate) const fn is_store_reader(&self) -> bool {
         self.is_reader
@@ -191,6 +252,10 @@
             store::Table::Hosts => return false,
         };
         let before = replica.version();
+        let accepted = match table {
+            store::Table::Config => replica.row(config::CONFIG_KEY).cloned(),
+            store::Table::Targets | store::Table::Hosts => None,
+        };
         let is_new_epoch = !before.is_zero() && version.epoch() > before.epoch();
         let new_rows = match changes {
             traffic::Changes::Delta(rows) => replica.apply_changes(rows, version),
@@ -205,7 +270,11 @@
             return is_new_epoch;
         }
         match table {
-            store::Table::Config => self.apply_config(&new_rows, is_new_epoch, now),
+            store::Table::Config => {
+                // A configuration from another host is one that it has in force.
+                self.is_confirmed |= matches!(source, Source::Host(_));
+                self.apply_config(&new_rows, accepted.as_ref(), is_new_epoch, now);
+            }
             store::Table::Targets => self.apply_targets(&new_rows, source, is_final, now),
             store::Table::Hosts => {}
         }
@@ -239,27 +308,20 @@
         self.dispatcher.set_targets(&self.registry.targets(), now);
     }
 
+    /// Applies changed rows of the configuration's table; `accepted` is the row of the
+    /// configuration before.
     fn apply_config(
         &mut self,
         new_rows: &[traffic::Row],
+        accepted: Option<&traffic::Row>,
         is_new_epoch: bool,
         now: instant::Instant,
     ) {
+        if !self.is_confirmed {
+            return;
+        }
         for row in new_rows.iter().filter(|row| row.key == config::CONFIG_KEY) {
-            let Some(bytes) = &row.value else { continue };
-            match config::parse(bytes) {
-                Ok(config::Parsed { rules, warnings }) => {
-                    for warning in &warnings {
-                        log::error!(row:% = row.version, error:% = warning; "part of the configuration not understood");
-                    }
-                    let version = rules.version;
-                    let is_new = self.dispatcher.set_rules(sync::Arc::new(rules), now);
-                    log::info!(version, row:% = row.version, in_force = is_new; "configuration read");
-                }
-                Err(error) => {
-                    log::error!(row:% = row.version, error:% = error; "configuration rejected; keeping the previous one");
-                }
-            }
+            self.put_config(row, accepted, now);
         }
         let mut evacuated = collections::BTreeSet::new();
         for row in self.config.rows() {
@@ -284,6 +346,57 @@
         self.dispatcher.set_targets(&self.registry.targets(), now);
     }
 
+    fn put_config(
+        &mut self,
+        row: &traffic::Row,
+        accepted: Option<&traffic::Row>,
+        now: instant::Instant,
+    ) {
+        let Some(bytes) = &row.value else {
+            self.keep_config(accepted);
+            return;
+        };
+        let config::Parsed { rules, warnings } = match config::parse(bytes) {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                log::error!(row:% = row.version, error:% = error; "configuration rejected; keeping the previous one");
+                return;
+            }
+        };
+        for warning in &warnings {
+            log::error!(row:% = row.version, error:% = warning; "part of the configuration not understood");
+        }
+        let version = rules.version;
+        let in_force = self.dispatcher.rules().map(|rules| rules.version);
+        let is_rewritten = in_force == Some(version)
+            && row.version.epoch() > 0
+            && accepted.is_some_and(|accepted| accepted.value != row.value);
+        let is_new = if is_rewritten {
+            // The store lost this version, and it was given out again with other contents.
+            self.dispatcher.replace_rules(sync::Arc::new(rules), now);
+            true
+        } else {
+            self.dispatcher.set_rules(sync::Arc::new(rules), now)
+        };
+        log::info!(version, row:% = row.version, in_force = is_new; "configuration read");
+        if in_force > Some(version) {
+            log::warn!(version, in_force:? = in_force; "configuration is older than the one in force; keeping that");
+            self.keep_config(accepted);
+        }
+    }
+
+    /// Keeps the configuration in force for other hosts although the store has an older one.
+    fn keep_config(&mut self, accepted: Option<&traffic::Row>) {
+        let Some(bytes) = accepted.and_then(|row| row.value.clone()) else {
+            return;
+        };
+        let version = config::parse(&bytes).map(|parsed| parsed.rules.version);
+        let in_force = self.dispatcher.rules().map(|rules| rules.version);
+        if version.ok() == in_force {
+            self.config.keep(config::CONFIG_KEY, bytes);
+        }
+    }
+
     fn apply_targets(
         &mut self,
         new_rows: &[traffic::Row],
--- a/crates/host/src/contacts.rs
+++ b/crates/host/src/contacts.rs
@@ -22,6 +22,8 @@
     own: net::SocketAddr,
     seeds: Vec<net::SocketAddr>,
     known: sync::Mutex<collections::BTreeMap<net::SocketAddr, Contact>>,
+    /// Whether the other hosts' rows in the store were read once.
+    is_listed: tokio::sync::watch::Sender<bool>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -43,6 +45,7 @@
             own,
             seeds: seeds.iter().copied().filter(|seed| *seed != own).collect(),
             known: sync::Mutex::default(),
+            is_listed: tokio::sync::watch::Sender::new(false),
         };
         contacts.seeds.iter().for_each(|seed| contacts.add(*seed));
         contacts
@@ -105,6 +108,18 @@
         due
     }
 
+    /// Records that the other hosts' rows in the store were read.
+    pub(crate) fn set_listed(&self) {
+        self.is_listed.send_replace(true);
+    }
+
+    /// Waits until the other hosts' rows in the store were read once.
+    pub(crate) async fn listed(&self) {
+        let mut is_listed = self.is_listed.subscribe();
+        // The sender lives as long as the contacts.
+        let _closed = is_listed.wait_for(|is_listed| *is_listed).await.is_err();
+    }
+
     /// Returns the addresses of the seeds.
     pub(crate) fn seeds(&self) -> &[net::SocketAddr] {
         &self.seeds
--- a/crates/host/src/feed.rs
+++ b/crates/host/src/feed.rs
@@ -203,5 +203,6 @@
             }
         }
     }
+    state.contacts.set_listed();
     Ok((listed.version.epoch(), is_published))
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,6 +24,7 @@
 mod pull;
 mod queue;
 mod readiness;
+mod reconcile;
 mod reload;
 mod reports;
 mod response;
@@ -149,6 +150,10 @@
     }
     let shared = sync::Arc::clone(state);
     tasks.spawn("hosts", move || feed::register(sync::Arc::clone(&shared)));
+    let shared = sync::Arc::clone(state);
+    tasks.spawn("reconcile", move || {
+        reconcile::run(sync::Arc::clone(&shared))
+    });
     for table in feed::WATCHED {
         let shared = sync::Arc::clone(state);
         tasks.spawn("catch up", move || {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -21,6 +21,9 @@
 
 /// Path that returns table changes to other hosts.
 pub(crate) const PATH: &str = "/knowledge";
+/// Header with the version of the configuration that the answering host has in force.
+pub(crate) const IN_FORCE: hyper::header::HeaderName =
+    hyper::header::HeaderName::from_static("configuration-version");
 /// Content encoding of compressed changes.
 pub(crate) const DEFLATE: &str = "deflate";
 /// Bytes of answers that may be on their way to other hosts at once, unless it is a single one.
@@ -53,10 +56,11 @@
 }
 
 impl TableDelta {
-    fn new(replica: &traffic::Replica, after: traffic::Position) -> Self {
+    fn new(replica: Option<&traffic::Replica>, after: traffic::Position) -> Self {
+        let changes = replica.map(|replica| replica.changes_since(after));
         Self {
-            version: replica.version(),
-            changes: replica.changes_since(after),
+            version: replica.map(traffic::Replica::version).unwrap_or_default(),
+            changes: changes.unwrap_or(traffic::Changes::Delta(Vec::new())),
         }
     }
 }
@@ -126,6 +130,14 @@
         };
         hyper::Response::new(body::Forwarded::complete(body).with_reservation(reservation))
     };
+    let in_force = state
+        .cluster()
+        .dispatcher()
+        .rules()
+        .map(|rules| rules.version);
+    if let Some(version) = in_force {
+        response.headers_mut().insert(IN_FORCE, version.into());
+    }
     if is_compressed {
         let encoding = hyper::header::HeaderValue::from_static(DEFLATE);
         let headers = response.headers_mut();
@@ -146,8 +158,14 @@
 fn delta(state: &state::State, after: traffic::Versions) -> Delta {
     let cluster = state.cluster();
     Delta {
-        config: TableDelta::new(cluster.replica(store::Table::Config), after.config),
-        targets: TableDelta::new(cluster.replica(store::Table::Targets), after.targets),
+        config: TableDelta::new(
+            cluster.confirmed_replica(store::Table::Config),
+            after.config,
+        ),
+        targets: TableDelta::new(
+            cluster.confirmed_replica(store::Table::Targets),
+            after.targets,
+        ),
         retained: cluster.retained(),
         hosts: state.contacts.all(),
     }
--- a/crates/host/src/pull.rs
+++ b/crates/host/src/pull.rs
@@ -24,7 +24,7 @@
 const BUSY_DELAY: time::Duration = time::Duration::from_millis(80);
 
 /// Result of a question for table changes.
-type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
+pub(crate) type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
 
 /// Wakes the tasks that pull changes, one for each table.
 ///
@@ -52,8 +52,9 @@
 }
 
 /// The answer of another host.
-enum Answer {
-    Changes(peers::Delta),
+pub(crate) enum Answer {
+    /// The changes, and the version of the configuration that the host has in force, if any.
+    Changes(peers::Delta, Option<u64>),
     /// The host has no room for one more answer.
     Busy,
 }
@@ -74,8 +75,14 @@
             continue;
         };
         let asked_at = state.clock.now();
-        let delay = match request(&client, *source, table, &state).await {
-            Ok(Answer::Changes(delta)) => {
+        let own = state.cluster().replica(table).version();
+        // No change of the other table is newer than the largest position.
+        let (config, targets) = match table {
+            store::Table::Targets => (traffic::Position::MAX, own),
+            store::Table::Config | store::Table::Hosts => (own, traffic::Position::MAX),
+        };
+        let delay = match request(&client, *source, config, targets).await {
+            Ok(Answer::Changes(delta, _in_force)) => {
                 apply(table, &state, *source, delta);
                 if table == store::Table::Config {
                     state.record_evidence(asked_at);
@@ -123,31 +130,30 @@
         .collect()
 }
 
-/// Asks another host for the changes of one table.
-async fn request(
+/// Asks another host for the changes of both tables after two positions.
+pub(crate) async fn request(
     client: &http::Client,
     source: net::SocketAddr,
-    table: store::Table,
-    state: &state::State,
+    config: traffic::Position,
+    targets: traffic::Position,
 ) -> Result<Answer> {
-    let own = state.cluster().replica(table).version();
-    // No change of the other table is newer than the largest position.
-    let (config, targets) = match table {
-        store::Table::Targets => (traffic::Position::MAX, own),
-        store::Table::Config | store::Table::Hosts => (own, traffic::Position::MAX),
-    };
     let (config, targets) = (config.number(), targets.number());
     let path = peers::PATH;
     let request = hyper::Request::get(format!("http://{source}{path}?{config}-{targets}"))
         .header(hyper::header::ACCEPT_ENCODING, peers::DEFLATE)
         .body(http_body_util::Full::new(Bytes::new()))?;
     let reply = client.call(request).await?;
+    let in_force = reply.headers.get(peers::IN_FORCE);
+    let in_force = in_force.and_then(|value| value.to_str().ok()?.parse().ok());
     match reply.status {
         200 if reply.headers.contains_key(hyper::header::CONTENT_ENCODING) => {
-            Ok(Answer::Changes(peers::decompress(&reply.body)?))
+            Ok(Answer::Changes(peers::decompress(&reply.body)?, in_force))
         }
         // Hosts of the previous version do not compress.
-        200 => Ok(Answer::Changes(bincode::deserialize(&reply.body)?)),
+        200 => Ok(Answer::Changes(
+            bincode::deserialize(&reply.body)?,
+            in_force,
+        )),
         503 => Ok(Answer::Busy),
         status => Err(format!("the host answered with status {status}").into()),
     }
