--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -201,9 +201,9 @@
             known.is_none_or(|entry| entry.target.state != target.state)
         });
         let ids = outdated.keys().cloned().collect();
-        outdated
-            .into_values()
-            .for_each(|target| self.accept(target));
+        for target in outdated.into_values() {
+            self.accept(target);
+        }
         ids
     }
 
@@ -214,7 +214,9 @@
         }
         let expired = self.entries.iter().filter(|(_id, entry)| entry.is_retained);
         let ids: Vec<name::Target> = expired.map(|(id, _entry)| id.clone()).collect();
-        ids.iter().for_each(|id| self.drop_entry(id));
+        for id in &ids {
+            self.drop_entry(id);
+        }
         ids
     }
 
--- a/crates/core/tests/traffic/host_state.rs
+++ b/crates/core/tests/traffic/host_state.rs
@@ -315,7 +315,7 @@
     registry.put(target.clone());
     registry.restore(common::at(1_000));
     registry.remove(&target.id, false, common::at(1_000));
-    assert_eq!(registry.retained(), [target.id.clone()]);
+    assert_eq!(registry.retained(), std::slice::from_ref(&target.id));
     assert!(registry.expire(common::at(3_100)).is_empty());
     assert_eq!(registry.expire(common::at(3_300)), [target.id]);
 }
--- a/crates/host/src/feed.rs
+++ b/crates/host/src/feed.rs
@@ -15,8 +15,9 @@
 /// Number of hosts that poll with a short wait. Other hosts get changes from these if their own
 /// polls go unanswered.
 const FREQUENT_POLLERS: usize = 3;
-/// Wait of a frequent poller; an unanswered poll is noticed before changes must be in force.
-const FREQUENT_POLL_WAIT: time::Duration = time::Duration::from_millis(2_500);
+/// Wait of a frequent poller. An unanswered poll is given up before the store counts as stable
+/// after an outage, so that no change then waits for a poll from before.
+const FREQUENT_POLL_WAIT: time::Duration = time::Duration::from_millis(1_500);
 /// Wait of the other hosts' polls.
 const POLL_WAIT: time::Duration = time::Duration::from_secs(15);
 /// Delay after a failed request, doubled after each further failure.
