--- a/crates/core/src/traffic/evacuations.rs
+++ b/crates/core/src/traffic/evacuations.rs
@@ -6,6 +6,8 @@
 use crate::instant;
 use crate::name;
 
+use super::report;
+
 /// Time after the store's return from an older copy in which operators write again what it lost.
 const REWRITE_TIME: time::Duration = time::Duration::from_secs(5);
 
@@ -37,7 +39,16 @@
     }
 
     /// Ends and returns the orders that were not written again in time.
-    pub fn expire(&mut self, now: instant::Instant) -> collections::BTreeSet<name::Zone> {
+    ///
+    /// The time begins anew while the store cannot be read.
+    pub fn expire(
+        &mut self,
+        access: report::StoreAccess,
+        now: instant::Instant,
+    ) -> collections::BTreeSet<name::Zone> {
+        if access == report::StoreAccess::Unavailable {
+            self.restored_at = self.restored_at.map(|_at| now);
+        }
         if self
             .restored_at
             .is_none_or(|at| now.since(at) < REWRITE_TIME)
--- a/crates/core/src/traffic/fleet.rs
+++ b/crates/core/src/traffic/fleet.rs
@@ -7,6 +7,7 @@
 use crate::instant;
 use crate::name;
 
+use super::dispatcher;
 use super::fleet_view;
 use super::hash;
 use super::peer;
@@ -276,18 +277,23 @@
         hosts_before(own, self.zone_peers(zone, now))
     }
 
-    /// Returns whether a live host of the zone with store access precedes `own` in the relay order.
+    /// Returns whether a live host of the own zone with store access precedes this one in the
+    /// relay order.
+    ///
+    /// A host that is still starting does not pass on what it reads, so it counts only for
+    /// others that are.
     #[must_use]
     pub fn has_store_reader(
         &self,
-        zone: &name::Zone,
-        own: &name::Host,
+        own: &dispatcher::Identity,
+        phase: report::Phase,
         now: instant::Instant,
     ) -> bool {
-        let zone_peers = self.zone_peers(zone, now);
-        let readers =
-            zone_peers.filter(|member| member.store_access == report::StoreAccess::Available);
-        hosts_before(own, readers) > 0
+        let readers = self.zone_peers(&own.zone, now).filter(|member| {
+            let passes_on = member.phase != report::Phase::Starting || phase == member.phase;
+            passes_on && member.store_access == report::StoreAccess::Available
+        });
+        hosts_before(&own.host, readers) > 0
     }
 
     /// Returns the last report that this host sent.
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -134,6 +134,9 @@
             return false;
         }
         if self.restored_at.is_some() && newest.is_some_and(|newest| newest.is_after(&target)) {
+            if let Some(entry) = self.entries.get_mut(&target.id) {
+                entry.is_retained = false;
+            }
             self.outdated.insert(target.id.clone(), target);
             return false;
         }
@@ -190,8 +193,14 @@
     /// Accepts and returns the outdated entries that the store still lists although it would have
     /// dropped them if their targets were gone.
     pub fn accept_outdated(&mut self, now: instant::Instant) -> Vec<name::Target> {
+        // Entries stay listed as long as nothing can be read.
+        let readable_since = match self.store {
+            StoreReach::Always => self.restored_at,
+            StoreReach::Lost => None,
+            StoreReach::Since(at) => self.restored_at.map(|restored| restored.max(at)),
+        };
         let silence = self.heartbeat * MISSED_HEARTBEATS + REGISTRATION_TIME;
-        if self.restored_at.is_none_or(|at| now.since(at) < silence) {
+        if readable_since.is_none_or(|at| now.since(at) < silence) {
             return Vec::new();
         }
         self.restored_at = None;
--- a/crates/core/src/traffic/replica.rs
+++ b/crates/core/src/traffic/replica.rs
@@ -31,8 +31,11 @@
     rows: collections::BTreeMap<String, Row>,
     /// Position at which each removed row was removed.
     removals: collections::BTreeMap<String, position::Position>,
-    /// Position after which every removal is remembered.
+    /// Position after which every removal is remembered, but for the gap.
     removals_since: position::Position,
+    /// Positions between which the last snapshot skipped changes. Rows that came and went there
+    /// were never known here.
+    gap: (position::Position, position::Position),
 }
 
 /// The changes that bring an older replica up to date.
@@ -87,7 +90,8 @@
     #[must_use]
     pub fn changes_since(&self, after: position::Position) -> Changes {
         let is_earlier_epoch = after.epoch() < self.version.epoch();
-        if after.is_zero() || after < self.removals_since || is_earlier_epoch {
+        let is_in_gap = after > self.gap.0 && after < self.gap.1;
+        if after.is_zero() || after < self.removals_since || is_earlier_epoch || is_in_gap {
             return Changes::Snapshot(self.rows.values().cloned().collect());
         }
         let changed = self.rows.values().filter(|row| row.version > after);
@@ -101,7 +105,12 @@
     }
 
     /// Applies changes up to a position; returns those that were not known.
+    ///
+    /// Changes of a newer epoch are ignored: only a snapshot tells what the store lost.
     pub fn apply_changes(&mut self, rows: Vec<Row>, version: position::Position) -> Vec<Row> {
+        if !self.version.is_zero() && version.epoch() > self.version.epoch() {
+            return Vec::new();
+        }
         let applied: Vec<Row> = rows
             .into_iter()
             .filter(|row| row.version > self.version)
@@ -134,15 +143,16 @@
             version,
             value: None,
         });
-        let known =
-            |row: &&Row| self.rows.get(&row.key).map(|old| old.version) != Some(row.version);
+        let is_unknown = |row: &&Row| self.rows.get(&row.key) != Some(*row);
         let applied: Vec<Row> = dropped
-            .chain(snapshot.values().filter(known).cloned())
+            .chain(snapshot.values().filter(is_unknown).cloned())
             .collect();
         self.record_removals(&applied);
         self.rows = snapshot;
         if self.version.is_zero() {
             self.removals_since = version;
+        } else if self.version < version {
+            self.gap = (self.version, version);
         }
         self.version = version;
         applied
--- a/crates/core/tests/traffic/host_state.rs
+++ b/crates/core/tests/traffic/host_state.rs
@@ -112,6 +112,53 @@
     assert!(source.rows().eq(follower.rows()));
 }
 
+/// Load pattern: a target leaves that only an earlier epoch and another host's copy had.
+#[test]
+fn a_removal_is_not_missed_between_hosts_that_adopted_the_copy_at_different_versions() {
+    let at = |version| traffic::Position::new(1, version);
+    let row = |key: &str, version| traffic::Row {
+        version: at(version),
+        ..common::row(key, 0, Some("x"))
+    };
+    let mut first = traffic::Replica::default();
+    let mut second = traffic::Replica::default();
+    for replica in [&mut first, &mut second] {
+        replica.apply_snapshot(vec![common::row("left", 40, Some("x"))], 55.into());
+        replica.apply_changes(vec![common::row("left", 60, None)], 60.into());
+    }
+    first.apply_snapshot(vec![row("left", 40), row("kept", 41)], at(50));
+    // Removed at 53.
+    second.apply_snapshot(vec![row("kept", 41)], at(55));
+    match second.changes_since(first.version()) {
+        traffic::Changes::Delta(rows) => first.apply_changes(rows, second.version()),
+        traffic::Changes::Snapshot(rows) => first.apply_snapshot(rows, second.version()),
+    };
+    assert!(first.rows().eq(second.rows()));
+}
+
+#[test]
+fn a_kept_row_is_reported_when_the_table_is_read_again() {
+    let mut replica = traffic::Replica::default();
+    replica.apply_snapshot(vec![common::row("config", 5, Some("old"))], 6.into());
+    replica.keep("config", b"new".to_vec());
+    let old = common::row("config", 5, Some("old"));
+    assert_eq!(replica.apply_snapshot(vec![old.clone()], 6.into()), [old]);
+}
+
+#[test]
+fn changes_of_a_newer_epoch_are_not_applied_to_an_earlier_one() {
+    let mut replica = traffic::Replica::default();
+    replica.apply_snapshot(vec![common::row("lost", 5, Some("x"))], 6.into());
+    let mut row = common::row("new", 0, Some("y"));
+    row.version = traffic::Position::new(1, 3);
+    assert!(
+        replica
+            .apply_changes(vec![row], traffic::Position::new(1, 3))
+            .is_empty()
+    );
+    assert_eq!(replica.version(), 6.into());
+}
+
 /// Hosts of builds without epochs exchange bare versions.
 #[test]
 fn positions_are_ordered_by_epoch_and_equal_bare_versions_in_the_first() {
@@ -307,6 +354,39 @@
     assert_eq!(registry.targets().len(), 1);
 }
 
+/// Load pattern: the store is away again soon after its return.
+#[test]
+fn a_target_that_left_is_not_used_again_because_nothing_could_be_read() {
+    let mut registry = traffic::Registry::default();
+    let target = common::target("t0", "a1", 5);
+    registry.put(target.clone());
+    registry.remove(&target.id, true, common::at(0));
+    registry.restore(common::at(1_000));
+    registry.put(target.clone());
+    registry.set_store_reachable(false, common::at(2_000));
+    assert!(registry.accept_outdated(common::at(9_000)).is_empty());
+    registry.set_store_reachable(true, common::at(10_000));
+    assert!(registry.accept_outdated(common::at(16_600)).is_empty());
+    assert_eq!(registry.accept_outdated(common::at(16_800)), [target.id]);
+}
+
+/// Load pattern: two returns; only the second copy lists a target that is alive.
+#[test]
+fn a_retained_target_that_a_second_copy_lists_again_stays_in_use() {
+    let mut registry = traffic::Registry::default();
+    let mut target = common::target("t0", "a1", 5);
+    target.sequence = 2;
+    registry.put(target.clone());
+    registry.restore(common::at(0));
+    registry.remove(&target.id, false, common::at(0));
+    registry.restore(common::at(1_000));
+    target.sequence = 1;
+    registry.put(target);
+    assert!(registry.retained().is_empty());
+    assert!(registry.expire(common::at(4_000)).is_empty());
+    assert_eq!(registry.targets().len(), 1);
+}
+
 /// Load pattern: targets join, and the store returns from a copy from before.
 #[test]
 fn a_target_that_joined_before_the_store_returned_is_retained_for_the_registration_time() {
@@ -325,6 +405,7 @@
 fn a_zone_stays_empty_until_an_order_that_the_store_lost_is_written_again() {
     let zones = |names: &[&str]| names.iter().map(|name| common::zone(name)).collect();
     let mut evacuations = traffic::Evacuations::default();
+    let readable = traffic::StoreAccess::Available;
     evacuations.set_listed(zones(&["a1"]));
     evacuations.restore(zones(&["b1"]), common::at(0));
     assert_eq!(evacuations.zones(), zones(&["a1", "b1"]));
@@ -332,13 +413,29 @@
     evacuations.restore(zones(&[]), common::at(1_000));
     assert_eq!(evacuations.zones(), zones(&["a1", "b1"]));
     evacuations.set_listed(zones(&["a1"]));
-    assert!(evacuations.expire(common::at(5_900)).is_empty());
-    assert_eq!(evacuations.expire(common::at(6_100)), zones(&["b1"]));
+    assert!(evacuations.expire(readable, common::at(5_900)).is_empty());
+    assert_eq!(
+        evacuations.expire(readable, common::at(6_100)),
+        zones(&["b1"])
+    );
     assert_eq!(evacuations.zones(), zones(&["a1"]));
     evacuations.set_listed(zones(&[]));
     assert_eq!(evacuations.zones(), zones(&[]));
 }
 
+#[test]
+fn an_order_is_kept_while_the_store_cannot_be_read() {
+    let zones: collections::BTreeSet<name::Zone> = [common::zone("a1")].into();
+    let mut evacuations = traffic::Evacuations::default();
+    evacuations.set_listed(zones.clone());
+    evacuations.restore(collections::BTreeSet::new(), common::at(0));
+    let away = traffic::StoreAccess::Unavailable;
+    assert!(evacuations.expire(away, common::at(8_000)).is_empty());
+    let readable = traffic::StoreAccess::Available;
+    assert!(evacuations.expire(readable, common::at(12_900)).is_empty());
+    assert_eq!(evacuations.expire(readable, common::at(13_100)), zones);
+}
+
 #[test]
 fn a_zone_is_used_again_once_its_evacuation_is_lifted_after_the_return() {
     let zones = |names: &[&str]| names.iter().map(|name| common::zone(name)).collect();
--- a/crates/core/tests/traffic/relays.rs
+++ b/crates/core/tests/traffic/relays.rs
@@ -180,17 +180,48 @@
     assert!(described > 6, "{described}");
 }
 
+fn identity(host: &str, zone: &str) -> traffic::Identity {
+    let zone = common::zone(zone);
+    let region = common::topology().region(&zone).cloned();
+    traffic::Identity {
+        host: common::report(host, "a1", 1).member.host,
+        region: region.expect("region"),
+        zone,
+    }
+}
+
+/// Load pattern: a host starts that precedes the zone's reader, and compares configurations first.
+#[test]
+fn a_starting_host_does_not_take_the_place_of_the_zones_reader() {
+    let hosts = ["a-1", "a-2", "a-3"];
+    for starting in hosts {
+        let mut fleet = traffic::Fleet::default();
+        for host in hosts {
+            let mut report = report(host, "a1", 1.0);
+            if host == starting {
+                report.member.phase = traffic::Phase::Starting;
+            }
+            fleet.apply_report(report, common::at(0));
+        }
+        let reads = |host: &str, phase| {
+            !fleet.has_store_reader(&identity(host, "a1"), phase, common::at(100))
+        };
+        let others = hosts.iter().filter(|host| **host != starting);
+        let readers = others.filter(|host| reads(host, traffic::Phase::Ready));
+        assert_eq!(readers.count(), 1, "{starting} starts");
+    }
+}
+
 /// Load pattern: the host of a zone that reads the store loses access to it.
 #[test]
 fn the_next_host_of_a_zone_reads_the_store_when_the_first_cannot() {
     let mut fleet = traffic::Fleet::default();
     let hosts = ["a-1", "a-2", "a-3"];
-    let zone = common::zone("a1");
     let readers = |fleet: &traffic::Fleet| -> Vec<&str> {
         let mut readers = hosts.to_vec();
         readers.retain(|host| {
-            let host = common::report(host, "a1", 1).member.host;
-            !fleet.has_store_reader(&zone, &host, common::at(100))
+            let own = identity(host, "a1");
+            !fleet.has_store_reader(&own, traffic::Phase::Ready, common::at(100))
         });
         readers
     };
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -174,8 +174,12 @@
         now: instant::Instant,
     ) -> bool {
         let fleet = self.dispatcher.fleet();
-        let is_reader =
-            !self.has_tables() || !fleet.has_store_reader(&identity.zone, &identity.host, now);
+        let phase = if self.has_synced {
+            traffic::Phase::Ready
+        } else {
+            traffic::Phase::Starting
+        };
+        let is_reader = !self.has_tables() || !fleet.has_store_reader(identity, phase, now);
         if is_reader != self.is_reader {
             self.is_reader = is_reader;
             // Reachability from this host does not matter while another host reads the store.
@@ -203,7 +207,7 @@
     /// Returns whether the host can serve: it has a configuration and targets, and its configuration
     /// has once been as new as that of every live host.
     pub(crate) fn is_synced(&mut self, now: instant::Instant) -> bool {
-        if self.dispatcher.rules().is_none() || self.targets.version().is_zero() {
+        if self.dispatcher.rules().is_none() || !self.has_tables() {
             return false;
         }
         let own_version = self.config.version();
@@ -272,7 +276,10 @@
         match table {
             store::Table::Config => {
                 // A configuration from another host is one that it has in force.
-                self.is_confirmed |= matches!(source, Source::Host(_));
+                let has_config = new_rows
+                    .iter()
+                    .any(|row| row.key == config::CONFIG_KEY && row.value.is_some());
+                self.is_confirmed |= has_config && matches!(source, Source::Host(_));
                 self.apply_config(&new_rows, accepted.as_ref(), is_new_epoch, now);
             }
             store::Table::Targets => self.apply_targets(&new_rows, source, is_final, now),
@@ -288,7 +295,7 @@
 
     /// Ends what was kept for a time after a store outage or an older copy, and updates shares.
     pub(crate) fn refresh(&mut self, now: instant::Instant) {
-        let ended = self.evacuations.expire(now);
+        let ended = self.evacuations.expire(self.store_access(), now);
         if !ended.is_empty() {
             log::warn!(zones:% = field::List(&ended); "evacuation not ordered again after the store returned from an older copy; zone in use again");
             self.dispatcher.set_closed(&self.evacuations.zones(), now);
--- a/crates/host/src/feed.rs
+++ b/crates/host/src/feed.rs
@@ -63,6 +63,7 @@
                 log::info!(table = table.as_str(), version:% = rows.version; "late answer of an earlier store epoch ignored");
                 is_synced = false;
                 tokio::time::sleep(delay).await;
+                delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
             Ok(rows) => {
                 state.observe_epoch(rows.version.epoch());
@@ -143,9 +144,11 @@
         let address = state.settings().store;
         match publish_row(&state, address, &own, &row).await {
             Ok(epoch) => {
-                delay = MIN_RETRY_DELAY;
                 // A store that returns from an older copy may have lost the row.
                 state.newer_epoch(epoch).await;
+                // Not at once, if the store names an earlier epoch than other hosts know.
+                tokio::time::sleep(MIN_RETRY_DELAY).await;
+                delay = MIN_RETRY_DELAY;
             }
             Err(error) => {
                 log::warn!(table = table.as_str(), error:% = error; "store request failed; retrying");
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -70,6 +70,8 @@
 pub(crate) struct CachedAnswer {
     after: traffic::Versions,
     newest: traffic::Versions,
+    /// Version of the configuration in force, which may be newer than the store's.
+    in_force: Option<u64>,
     at: instant::Instant,
     body: Bytes,
 }
@@ -79,9 +81,11 @@
         &self,
         after: traffic::Versions,
         newest: traffic::Versions,
+        in_force: Option<u64>,
         now: instant::Instant,
     ) -> bool {
-        self.after == after && self.newest == newest && now.since(self.at) < CACHE_TIME
+        let is_same = self.after == after && self.newest == newest && self.in_force == in_force;
+        is_same && now.since(self.at) < CACHE_TIME
     }
 }
 
@@ -173,9 +177,15 @@
 
 fn compressed_delta(state: &state::State, after: traffic::Versions) -> bincode::Result<Bytes> {
     let now = state.clock.now();
-    let newest = state.cluster().versions();
+    let (newest, in_force) = {
+        let cluster = state.cluster();
+        (
+            cluster.versions(),
+            cluster.dispatcher().rules().map(|rules| rules.version),
+        )
+    };
     if let Some(cached) = state.cached_answer()
-        && cached.is_valid(after, newest, now)
+        && cached.is_valid(after, newest, in_force, now)
     {
         return Ok(cached.body);
     }
@@ -183,6 +193,7 @@
     state.cache_answer(CachedAnswer {
         after,
         newest,
+        in_force,
         at: now,
         body: body.clone(),
     });
--- a/crates/host/src/pull.rs
+++ b/crates/host/src/pull.rs
@@ -83,8 +83,8 @@
         };
         let delay = match request(&client, *source, config, targets).await {
             Ok(Answer::Changes(delta, _in_force)) => {
-                apply(table, &state, *source, delta);
-                if table == store::Table::Config {
+                let is_current = apply(table, &state, *source, delta);
+                if is_current && table == store::Table::Config {
                     state.record_evidence(asked_at);
                 }
                 tokio::time::sleep(BATCH_DELAY).await;
@@ -159,7 +159,13 @@
     }
 }
 
-fn apply(table: store::Table, state: &state::State, source: net::SocketAddr, delta: peers::Delta) {
+/// Applies another host's changes; returns whether that host is at least as far as this one.
+fn apply(
+    table: store::Table,
+    state: &state::State,
+    source: net::SocketAddr,
+    delta: peers::Delta,
+) -> bool {
     let now = state.clock.now();
     for host in delta.hosts {
         state.contacts.add(host);
@@ -180,4 +186,5 @@
     drop(cluster);
     state.changed.notify_one();
     state.queue_changed.notify_one();
+    !version.is_zero() && version >= own
 }
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -173,12 +173,15 @@
 
     /// Records an epoch of the store, seen in its answers or in those of other hosts.
     pub(crate) fn observe_epoch(&self, epoch: u64) {
+        let is_first = self.cluster().versions() == traffic::Versions::default();
         self.store_epoch.send_if_modified(|newest| {
             let is_newer = epoch > *newest;
-            if is_newer {
+            if is_newer && is_first {
+                log::info!(epoch; "store has returned from an older copy before this start");
+            } else if is_newer {
                 log::warn!(epoch, before = *newest; "store returned from an older copy; reading all tables again");
-                *newest = epoch;
             }
+            *newest = epoch.max(*newest);
             is_newer
         });
     }
