Count a target's silence from the first answer that it owes

- While only bodies were under way, the silence counted on from the first of them; the next request made the target silent at once.
New test of the process: 19 of 20 refused before.
- A request owed an answer already while its connection opened, which took up to 1.1 s beside busy processes (27 requests, 2 bodies under way).

Change: silence counts from when the target owes a first answer; a streamed body is under way from the choice of its target on. Such a body that ends before any of it was sent is no sign of life.

The two tests of unsent bodies fail where such an end always, or never, starts the count.

--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -548,6 +548,13 @@
         }
     }
 
+    /// Records that a request body ended before any of it was sent to its target.
+    pub fn record_unsent_upload_end(&mut self, pick: &placement::Pick, now: instant::Instant) {
+        if let Some(status) = self.status_mut(pick) {
+            status.record_unsent_upload_end(now);
+        }
+    }
+
     /// Records that a target's response was cut off after its beginning was passed on.
     pub fn record_cut(&mut self, pick: &placement::Pick, now: instant::Instant) {
         let pool = self.pools.get(&pick.service);
--- a/crates/core/src/traffic/target_status.rs
+++ b/crates/core/src/traffic/target_status.rs
@@ -39,7 +39,7 @@
     pub cold_start: cold_start::ColdStart,
     /// Requests of this host at the target.
     own_requests: u32,
-    /// Requests of this host whose bodies are still on their way to the target.
+    /// Requests of this host whose bodies are not whole at the target yet.
     uploads: u32,
     /// Requests of other hosts at the target, observed in its last answer.
     other_requests: f64,
@@ -54,7 +54,7 @@
     outlier: steer::OutlierEjection,
     /// Rate of failed attempts.
     failures: steer::DecayingRate,
-    /// When the target last answered or became busy.
+    /// When the target last answered, or began to owe an answer.
     progress_at: instant::Instant,
     /// Affinity keys that the target recently handled for this host, the oldest first.
     warm_keys: collections::VecDeque<hash::HashKey>,
@@ -156,13 +156,17 @@
     #[must_use]
     pub fn is_excluded(&self, now: instant::Instant) -> bool {
         let stall_time = (self.mean_processing_time() * STALL_FACTOR).max(MIN_STALL_TIME);
-        // A target owes no answer while the request's body is on its way.
-        let is_stalled =
-            self.own_requests > self.uploads && now.since(self.progress_at) > stall_time;
+        let is_stalled = self.owed_answers() > 0 && now.since(self.progress_at) > stall_time;
         let is_probed = self.outlier.is_probe_due(now) && self.own_requests > 0;
         self.outlier.is_ejected(now) || is_probed || is_stalled
     }
 
+    /// Returns the number of requests that the target should answer; it owes no answer while a body
+    /// is on its way, or waits for its connection.
+    const fn owed_answers(&self) -> u32 {
+        self.own_requests.saturating_sub(self.uploads)
+    }
+
     /// Returns the ratio of recent attempts that failed, from 0 to 1.
     #[must_use]
     pub fn failure_ratio(&self, now: instant::Instant) -> f64 {
@@ -179,7 +183,7 @@
 
     /// Records a request that is sent to the target.
     pub fn record_send(&mut self, now: instant::Instant) {
-        if self.own_requests == 0 {
+        if self.owed_answers() == 0 {
             self.progress_at = now;
         }
         self.own_requests += 1;
@@ -199,6 +203,14 @@
         self.progress_at = now;
     }
 
+    /// Records that a request body ended before any of it was sent, which shows no sign of life.
+    pub const fn record_unsent_upload_end(&mut self, now: instant::Instant) {
+        if self.owed_answers() == 0 {
+            self.progress_at = now;
+        }
+        self.uploads = self.uploads.saturating_sub(1);
+    }
+
     /// Records that a response was cut off after its beginning was passed on.
     pub fn record_cut(&mut self, warmup: time::Duration, now: instant::Instant) {
         self.failures.record_event(now);
--- a/crates/core/tests/traffic/placement.rs
+++ b/crates/core/tests/traffic/placement.rs
@@ -336,6 +336,74 @@
     );
 }
 
+/// Load pattern: callers send large bodies for seconds, and more of them arrive side by side.
+#[test]
+fn time_in_which_only_bodies_were_on_their_way_is_not_silence() {
+    let targets = [common::target("t0", "a1", 5)];
+    let mut dispatcher = common::dispatcher("h1", "a1", &targets);
+    let place = |dispatcher: &mut common::Dispatcher, millis| {
+        let now = common::at(millis);
+        let placement = dispatcher.place(&common::request("stock", 2, "o", now), now);
+        common::sent_to(&placement).cloned()
+    };
+    let upload = place(&mut dispatcher, 0).expect("sent");
+    dispatcher.record_upload_start(&upload);
+    assert!(place(&mut dispatcher, 5_000).is_some());
+    assert!(
+        place(&mut dispatcher, 5_900).is_some(),
+        "owes an answer for less than a second"
+    );
+    assert!(
+        place(&mut dispatcher, 6_100).is_none(),
+        "silent for over a second"
+    );
+}
+
+/// Load pattern: a target is silent, and callers leave while their uploads' connections open.
+#[test]
+fn an_upload_that_was_never_sent_is_no_sign_of_life() {
+    let targets = [common::target("t0", "a1", 5)];
+    let mut dispatcher = common::dispatcher("h1", "a1", &targets);
+    let place = |dispatcher: &mut common::Dispatcher, millis| {
+        let now = common::at(millis);
+        let placement = dispatcher.place(&common::request("stock", 2, "o", now), now);
+        common::sent_to(&placement).cloned()
+    };
+    let _unanswered = place(&mut dispatcher, 0).expect("sent");
+    let upload = place(&mut dispatcher, 500).expect("sent");
+    dispatcher.record_upload_start(&upload);
+    dispatcher.record_unsent_upload_end(&upload, common::at(900));
+    assert!(place(&mut dispatcher, 950).is_some());
+    assert!(
+        place(&mut dispatcher, 1_100).is_none(),
+        "silent for over a second"
+    );
+}
+
+/// Load pattern: callers send large bodies for seconds, and the connection of one more fails.
+#[test]
+fn the_end_of_an_unsent_upload_beside_others_is_not_silence() {
+    let targets = [common::target("t0", "a1", 5)];
+    let mut dispatcher = common::dispatcher("h1", "a1", &targets);
+    let place = |dispatcher: &mut common::Dispatcher, millis| {
+        let now = common::at(millis);
+        let placement = dispatcher.place(&common::request("stock", 2, "o", now), now);
+        common::sent_to(&placement).cloned()
+    };
+    for millis in [0, 3_000] {
+        let upload = place(&mut dispatcher, millis).expect("sent");
+        dispatcher.record_upload_start(&upload);
+        if millis > 0 {
+            dispatcher.record_unsent_upload_end(&upload, common::at(6_000));
+        }
+    }
+    assert!(place(&mut dispatcher, 6_900).is_some());
+    assert!(
+        place(&mut dispatcher, 7_100).is_none(),
+        "silent for over a second"
+    );
+}
+
 /// Load pattern: a target's long answers break off after their beginning was passed on.
 #[test]
 fn a_target_whose_answers_are_cut_off_is_excluded() {
--- a/crates/host/src/body.rs
+++ b/crates/host/src/body.rs
@@ -115,6 +115,9 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<hyper::body::Frame<Bytes>, Error>>> {
+        if let Some(observer) = &mut self.observer {
+            observer.record_begin();
+        }
         if let Some(head) = self.head.as_mut().filter(|head| !head.is_empty()) {
             let chunk = head.split_to(head.len().min(MAX_FRAME_BYTES));
             return task::Poll::Ready(Some(Ok(hyper::body::Frame::data(chunk))));
--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -53,7 +53,15 @@
 
     fn put_back(&mut self, unsent: body::Forwarded) {
         if let Self::Once(body) = self {
-            *body = Some(unsent.with_observer(None));
+            *body = Some(unsent);
+        }
+    }
+
+    /// Counts a streamed body as on its way to the target; `None` ends that if it was not sent.
+    fn set_upload(&mut self, upload: impl FnOnce() -> Option<upload::Upload>) {
+        if let Self::Once(body) = self {
+            let unsent = body.take();
+            *body = unsent.map(|body| body.with_observer(upload().map(observer::Observer::Upload)));
         }
     }
 
@@ -86,12 +94,27 @@
     }
 }
 
-/// Sends a request to a target and reads the response, on a pooled connection if there is one.
+/// Sends a request to a target and reads the response.
 pub(crate) async fn run(
     state: &sync::Arc<state::State>,
     pick: &traffic::Pick,
     request: &Request,
     payload: &mut Payload,
+) -> Outcome {
+    let fault = upload::FaultCell::default();
+    payload.set_upload(|| Some(upload::Upload::new(state, pick, &fault)));
+    let outcome = attempt(state, pick, request, payload, &fault).await;
+    payload.set_upload(|| None);
+    outcome
+}
+
+/// Sends a request on a pooled connection if there is one, or else on a new one.
+async fn attempt(
+    state: &sync::Arc<state::State>,
+    pick: &traffic::Pick,
+    request: &Request,
+    payload: &mut Payload,
+    fault: &upload::FaultCell,
 ) -> Outcome {
     loop {
         let now = state.clock.now();
@@ -108,7 +131,7 @@
             },
         };
         let is_used = connection.is_used();
-        match send(state, pick, request, payload, connection).await {
+        match send(state, pick, request, payload, fault, connection).await {
             Some(outcome) => return outcome,
             // The target closed the pooled connection before anything was sent on it.
             None if is_used => {}
@@ -149,6 +172,7 @@
     pick: &traffic::Pick,
     request: &Request,
     payload: &mut Payload,
+    fault: &upload::FaultCell,
     mut connection: connections::Connection,
 ) -> Option<Outcome> {
     let now = state.clock.now();
@@ -159,14 +183,6 @@
             "request body already sent",
         ));
     };
-    let fault = upload::FaultCell::default();
-    let body = match payload {
-        Payload::Whole(_) => body,
-        Payload::Once(_) => {
-            let upload = upload::Upload::new(state, pick, &fault);
-            body.with_observer(Some(observer::Observer::Upload(upload)))
-        }
-    };
     let outgoing = build_request(pick, request, remaining.saturating_sub(RETURN_MARGIN), body);
     connection.head_limit.reset();
     let exchange = connection.sender.try_send_request(outgoing);
--- a/crates/host/src/observer.rs
+++ b/crates/host/src/observer.rs
@@ -13,6 +13,14 @@
 }
 
 impl Observer {
+    /// Records that the receiver asked for bytes of the body, those that were held included.
+    pub(crate) const fn record_begin(&mut self) {
+        match self {
+            Self::Upload(upload) => upload.record_begin(),
+            Self::Download(_) => {}
+        }
+    }
+
     /// Records that the receiver had room for more; `is_waiting` tells that nothing had arrived.
     pub(crate) fn record_read(&mut self, is_waiting: bool) {
         match self {
--- a/crates/host/tests/uploads.rs
+++ b/crates/host/tests/uploads.rs
@@ -16,6 +16,12 @@
 /// Largest body of the configuration.
 const MAX_BODY_BYTES: usize = 8_388_608;
 const CHUNK_BYTES: usize = 64 * 1_024;
+/// Bytes of a body that arrive before a host selects its target.
+const HELD_BYTES: usize = 256 * 1_024;
+/// Callers whose bodies reach that size at the same time.
+const UPLOADS: usize = 20;
+/// Pause of callers, longer than a target with requests may be silent.
+const PAUSE: time::Duration = time::Duration::from_millis(1_500);
 
 async fn deployment(ids: &[&str]) -> (host::Host, Vec<target::Target>) {
     let store = store::Store::start().await;
@@ -207,3 +213,52 @@
         .expect("rest");
     assert_eq!(caller.read().await.expect("an answer").status, 200);
 }
+
+/// Load pattern: a caller sends a large body slowly, and many others send theirs side by side.
+#[tokio::test]
+async fn large_bodies_that_arrive_together_beside_a_slow_one_are_not_refused() {
+    let store = store::Store::start().await;
+    let text = host::configuration("0000000a", "/look/").replace("unsafe", "upload");
+    let text = text.replace("\"timeoutS\":4", "\"timeoutS\":20");
+    store.put("op", "config", &text);
+    let target = target::Target::start("i-1").await;
+    let entry = serde_json::json!({
+        "address": target.address,
+        "info": {"service": "ledger", "version": "v1", "zone": "a1", "slots": 2 * UPLOADS},
+        "status": {"state": "ready", "sequence": 1, "warmupLeftS": 0},
+        "born": 1,
+    });
+    store.put("servers", &target.id, &entry.to_string());
+    let host = host::Host::start(&store).await;
+    let body = body(LARGE_BYTES);
+    let mut callers = Vec::new();
+    for n in 0..=UPLOADS {
+        let mut caller = raw::Caller::connect(host.callers).await;
+        let headers = format!("Deadline-Ms: 20000\r\nContent-Length: {LARGE_BYTES}\r\n");
+        let head = raw::head("POST", "/order/x", &format!("large-{n}"), &headers);
+        caller.send(head).await.expect("head");
+        caller.send(&body[..HELD_BYTES]).await.expect("body");
+        callers.push(caller);
+    }
+    let (slow, others) = callers.split_first_mut().expect("callers");
+    slow.send(&body[HELD_BYTES..2 * HELD_BYTES])
+        .await
+        .expect("body");
+    tokio::time::sleep(PAUSE).await;
+    for caller in &mut *others {
+        caller
+            .send(&body[HELD_BYTES..=HELD_BYTES])
+            .await
+            .expect("body");
+    }
+    let ends = others.iter_mut().map(async |caller| {
+        // The host does not read a refused body to its end, so sending it may fail.
+        let _sent = caller.send(&body[HELD_BYTES + 1..]).await;
+        caller.read().await.map(|answer| answer.status)
+    });
+    let statuses = futures::future::join_all(ends).await;
+    assert_eq!(statuses, [Some(200); UPLOADS]);
+    slow.send(&body[2 * HELD_BYTES..]).await.expect("body");
+    assert_eq!(slow.read().await.expect("an answer").status, 200);
+    assert_eq!(target.bodies(), vec![body; UPLOADS + 1]);
+}
