Send nothing to targets that left during a suspension

Traced to two faults:

- The poll under way when the process was paused timed out when it woke up, before its answer was read.
The host took that for an outage of the store: it read that the target was no longer listed, retained it, and sent to it 19 ms later.
- The answer for the configuration alone ended the refusals, also when that for the targets was still missing.

Change: a time limit that lapsed in a suspension says nothing of the store; each of both tables needs an answer of its own.

Each fault has a test of the process that got 200 from the target before.

--- a/crates/core/src/traffic/suspension.rs
+++ b/crates/core/src/traffic/suspension.rs
@@ -17,7 +17,10 @@
 #[derive(Debug, Default)]
 pub struct Suspension {
     observed: Option<(instant::Instant, time::Duration)>,
+    /// When the last suspension was noticed.
     woken_at: Option<instant::Instant>,
+    /// Whether a question that was asked since then has been answered.
+    has_evidence: bool,
 }
 
 impl Suspension {
@@ -35,20 +38,31 @@
             return None;
         }
         self.woken_at = Some(now);
+        self.has_evidence = false;
         Some(gap)
     }
 
     /// Records an answer to a question that was asked at an instant.
     pub fn record_evidence(&mut self, asked_at: instant::Instant) {
         if self.woken_at.is_some_and(|woken_at| asked_at >= woken_at) {
-            self.woken_at = None;
+            self.has_evidence = true;
         }
     }
 
+    /// Returns whether a suspension was noticed after an instant.
+    ///
+    /// What lapsed meanwhile, such as the time limit of a request, tells nothing about others.
+    #[must_use]
+    pub fn has_ended_since(&self, at: instant::Instant) -> bool {
+        self.woken_at.is_some_and(|woken_at| woken_at > at)
+    }
+
     /// Returns whether what the process knows may be from before a suspension.
     #[must_use]
     pub fn is_catching_up(&self, now: instant::Instant) -> bool {
-        self.woken_at
-            .is_some_and(|woken_at| now.since(woken_at) < MAX_CATCH_UP)
+        !self.has_evidence
+            && self
+                .woken_at
+                .is_some_and(|woken_at| now.since(woken_at) < MAX_CATCH_UP)
     }
 }
--- a/crates/core/tests/traffic/suspension.rs
+++ b/crates/core/tests/traffic/suspension.rs
@@ -48,6 +48,19 @@
     assert!(!suspension.is_catching_up(common::at(7_000)));
 }
 
+/// A request's time limit may lapse in a suspension.
+#[test]
+fn a_suspension_since_an_instant_is_remembered_after_the_evidence() {
+    let mut suspension = traffic::Suspension::default();
+    suspension.observe(common::at(0), seconds(100));
+    assert!(!suspension.has_ended_since(common::at(0)));
+    suspension.observe(common::at(6_000), seconds(106));
+    suspension.record_evidence(common::at(6_010));
+    assert!(!suspension.is_catching_up(common::at(6_020)));
+    assert!(suspension.has_ended_since(common::at(900)));
+    assert!(!suspension.has_ended_since(common::at(6_010)));
+}
+
 #[test]
 fn a_busy_process_is_not_taken_for_a_suspended_one() {
     let mut suspension = traffic::Suspension::default();
--- a/crates/host/src/feed.rs
+++ b/crates/host/src/feed.rs
@@ -58,9 +58,7 @@
         match reply {
             Ok(rows) => {
                 apply(&state, table, rows, is_delta);
-                if table == store::Table::Config {
-                    state.record_evidence(asked_at);
-                }
+                state.record_evidence(table, asked_at);
                 is_synced = true;
                 delay = MIN_RETRY_DELAY;
                 tokio::time::sleep(BATCH_DELAY).await;
@@ -68,7 +66,8 @@
             Err(error) => {
                 let is_compacted = matches!(error, skylark_platform::Error::Compacted);
                 log::warn!(table = table.as_str(), after, error:% = error; "store request failed; retrying");
-                if is_compacted {
+                // A time limit that lapsed in a suspension is no outage of the store.
+                if is_compacted || state.was_suspended_since(asked_at) {
                     is_synced = false;
                     continue;
                 }
--- a/crates/host/src/pull.rs
+++ b/crates/host/src/pull.rs
@@ -77,9 +77,7 @@
         let delay = match request(&client, *source, table, &state).await {
             Ok(Answer::Changes(delta)) => {
                 apply(table, &state, *source, delta);
-                if table == store::Table::Config {
-                    state.record_evidence(asked_at);
-                }
+                state.record_evidence(table, asked_at);
                 tokio::time::sleep(BATCH_DELAY).await;
                 continue;
             }
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -16,6 +16,7 @@
 use super::connections;
 use super::contacts;
 use super::error;
+use super::feed;
 use super::memory;
 use super::metrics;
 use super::peers;
@@ -56,7 +57,8 @@
     settings: sync::Mutex<settings::Settings>,
     cluster: sync::Mutex<cluster::ClusterState>,
     stopping_since: sync::Mutex<Option<instant::Instant>>,
-    suspension: sync::Mutex<traffic::Suspension>,
+    /// What is known of a suspension, for each table that the host replicates.
+    suspensions: sync::Mutex<[traffic::Suspension; feed::WATCHED.len()]>,
     cached_answer: sync::Mutex<Option<peers::CachedAnswer>>,
 }
 
@@ -98,7 +100,7 @@
             settings: sync::Mutex::new(settings),
             cluster: sync::Mutex::new(cluster::ClusterState::new(dispatcher)),
             stopping_since: sync::Mutex::new(None),
-            suspension: sync::Mutex::default(),
+            suspensions: sync::Mutex::default(),
             cached_answer: sync::Mutex::new(None),
         })
     }
@@ -149,17 +151,33 @@
     /// Must be called several times a second, and after the last wait before a request is sent.
     pub(crate) fn is_catching_up(&self) -> bool {
         let now = self.clock.now();
-        let mut suspension = lock(&self.suspension);
-        if let Some(gap) = suspension.observe(now, self.clock.boot_time()) {
+        let boot_time = self.clock.boot_time();
+        let mut suspensions = lock(&self.suspensions);
+        let gaps = suspensions.each_mut().map(|s| s.observe(now, boot_time));
+        if let Some(gap) = gaps.into_iter().flatten().max() {
             log::warn!(gap:% = field::Millis(gap); "process was suspended; asking other hosts what changed");
             self.pulls.notify();
         }
-        suspension.is_catching_up(now)
+        suspensions.iter().any(|s| s.is_catching_up(now))
     }
 
-    /// Records an answer of another host or the store to a question asked at an instant.
-    pub(crate) fn record_evidence(&self, asked_at: instant::Instant) {
-        lock(&self.suspension).record_evidence(asked_at);
+    /// Returns whether the process was suspended after an instant.
+    pub(crate) fn was_suspended_since(&self, at: instant::Instant) -> bool {
+        // A suspension that has just ended is noticed here.
+        self.is_catching_up();
+        let suspensions = lock(&self.suspensions);
+        suspensions.iter().any(|s| s.has_ended_since(at))
+    }
+
+    /// Records an answer of another host or the store to a question for a table's changes, asked
+    /// at an instant.
+    pub(crate) fn record_evidence(&self, table: store::Table, asked_at: instant::Instant) {
+        let mut suspensions = lock(&self.suspensions);
+        for (watched, suspension) in feed::WATCHED.into_iter().zip(&mut *suspensions) {
+            if watched == table {
+                suspension.record_evidence(asked_at);
+            }
+        }
     }
 
     /// Returns the last compressed answer to another host.
--- a/crates/host/tests/common/store.rs
+++ b/crates/host/tests/common/store.rs
@@ -32,6 +32,8 @@
     outages: u64,
     /// Reads and polls so far.
     reads: usize,
+    /// Table whose reads and polls wait until it is released.
+    held: Option<String>,
     version: u64,
     rows: collections::BTreeMap<(String, String), (u64, Option<String>)>,
 }
@@ -56,6 +58,7 @@
                 write_delay: time::Duration::ZERO,
                 outages: 0,
                 reads: 0,
+                held: None,
                 version: 0,
                 rows: collections::BTreeMap::new(),
             })),
@@ -82,6 +85,17 @@
         state.outages += u64::from(mode == Mode::Unresponsive);
     }
 
+    /// Holds the answers to reads and polls of a table back; `None` releases them.
+    pub(crate) fn hold(&self, table: Option<&str>) {
+        self.lock().held = table.map(str::to_owned);
+    }
+
+    async fn wait_until_released(&self, table: &str) {
+        while self.lock().held.as_deref() == Some(table) {
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+
     /// Returns the number of reads and polls so far.
     pub(crate) fn reads(&self) -> usize {
         self.lock().reads
@@ -138,6 +152,7 @@
         match request.uri().path() {
             "/api/rows-get" => {
                 self.lock().reads += 1;
+                self.wait_until_released(&query["table"]).await;
                 self.rows(&query["table"], 0, false)
             }
             "/api/rows-feed" => {
@@ -177,6 +192,7 @@
             }
             let is_changed = self.has_changes(&query["table"], after);
             if is_changed || began.elapsed() >= wait {
+                self.wait_until_released(&query["table"]).await;
                 return self.rows(&query["table"], after, true);
             }
             tokio::time::sleep(time::Duration::from_millis(10)).await;
--- a/crates/host/tests/suspension.rs
+++ b/crates/host/tests/suspension.rs
@@ -19,6 +19,11 @@
 /// Time in which a host must serve again after a pause.
 const MAX_CATCH_UP: time::Duration = time::Duration::from_secs(2);
 
+/// Time after a pause in which a host must not rely on what it knew before.
+const CATCH_UP_TIME: time::Duration = time::Duration::from_secs(1);
+/// Time in which a host that has read the store's tables polls for changes.
+const POLL_TIME: time::Duration = time::Duration::from_millis(300);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_paused_process_serves_no_withdrawn_key_and_no_target_that_has_left() {
     let runs = PAUSES.map(|pause| tokio::spawn(pause_while_things_change(pause)));
@@ -125,3 +130,72 @@
         "{pause:?}: sent to a target that had left"
     );
 }
+
+/// The configuration arrives after a pause, and the targets only later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_process_that_lacks_the_targets_sends_nothing() {
+    let store = store::Store::start().await;
+    store.put("op", "config", &host::configuration("0000000a", "/look/"));
+    let leaving = target::Target::start("i-1").await;
+    leaving.register(&store, "ready");
+    let host = host::Host::start(&store).await;
+    assert_eq!(host.request("GET", "/look/x", "before").await.status, 200);
+    tokio::time::sleep(POLL_TIME).await;
+
+    store.hold(Some("servers"));
+    host.signal("-STOP");
+    store.remove("servers", "i-1");
+    tokio::time::sleep(PAUSES[0]).await;
+    let before = leaving.heads().len();
+    host.signal("-CONT");
+    let woken = time::Instant::now();
+    // Each change answers a question that the host asked after the pause.
+    for n in 0..20 {
+        let rules = host::configuration(&format!("000000{:02x}", 16 + n), "/look/");
+        store.put("op", "config", &rules);
+        let reply = host.request("GET", "/look/x", &format!("woken-{n}")).await;
+        if woken.elapsed() >= CATCH_UP_TIME {
+            break;
+        }
+        assert_eq!(reply.status, 503);
+        assert_eq!(
+            leaving.heads().len(),
+            before,
+            "sent to a target that had left"
+        );
+        tokio::time::sleep(time::Duration::from_millis(40)).await;
+    }
+    store.hold(None);
+}
+
+/// The answer to the poll for targets does not arrive in time, as the process did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_is_not_taken_for_an_outage_of_the_store() {
+    let store = store::Store::start().await;
+    store.put("op", "config", &host::configuration("0000000a", "/look/"));
+    let leaving = target::Target::start("i-1").await;
+    leaving.register(&store, "ready");
+    let host = host::Host::start(&store).await;
+    assert_eq!(host.request("GET", "/look/x", "before").await.status, 200);
+    tokio::time::sleep(POLL_TIME).await;
+
+    store.hold(Some("servers"));
+    host.signal("-STOP");
+    store.remove("servers", "i-1");
+    tokio::time::sleep(PAUSES[1]).await;
+    let before = leaving.heads().len();
+    host.signal("-CONT");
+    host.wait_for_log(&["store request failed", "table=servers"])
+        .await;
+    store.hold(None);
+    host.wait_for_log(&["target no longer listed", "i-1"]).await;
+    for n in 0..5 {
+        let reply = host.request("GET", "/look/x", &format!("after-{n}")).await;
+        assert_eq!(reply.status, 503);
+    }
+    assert_eq!(
+        leaving.heads().len(),
+        before,
+        "sent to a target that had left"
+    );
+}
