--- a/crates/host/src/feed.rs
+++ b/crates/host/src/feed.rs
@@ -68,9 +68,7 @@
             Ok(rows) => {
                 state.observe_epoch(rows.version.epoch());
                 apply(&state, table, rows, is_delta);
-                if table == store::Table::Config {
-                    state.record_evidence(asked_at);
-                }
+                state.record_evidence(table, asked_at);
                 is_synced = true;
                 delay = MIN_RETRY_DELAY;
                 tokio::time::sleep(BATCH_DELAY).await;
@@ -81,7 +79,8 @@
                     skylark_platform::Error::Compacted | skylark_platform::Error::Restored
                 );
                 log::warn!(table = table.as_str(), after:% = after, error:% = error; "store request failed; retrying");
-                if is_gap && is_synced {
+                // A time limit that lapsed in a suspension is no outage of the store.
+                if is_gap && is_synced || state.was_suspended_since(asked_at) {
                     is_synced = false;
                     continue;
                 }
--- a/crates/host/src/pull.rs
+++ b/crates/host/src/pull.rs
@@ -84,8 +84,8 @@
         let delay = match request(&client, *source, config, targets).await {
             Ok(Answer::Changes(delta, _in_force)) => {
                 let is_current = apply(table, &state, *source, delta);
-                if is_current && table == store::Table::Config {
-                    state.record_evidence(asked_at);
+                if is_current {
+                    state.record_evidence(table, asked_at);
                 }
                 tokio::time::sleep(BATCH_DELAY).await;
                 continue;
--- a/crates/host/tests/common/store.rs
+++ b/crates/host/tests/common/store.rs
@@ -32,6 +32,8 @@
     outages: u64,
     /// Reads and polls so far.
     reads: usize,
+    /// Table whose reads and polls wait until it is released.
+    held: Option<String>,
     /// Number of returns from a copy, and 1.
     era: u64,
     contents: Contents,
@@ -106,6 +108,7 @@
                 write_delay: time::Duration::ZERO,
                 outages: 0,
                 reads: 0,
+                held: None,
                 era: 1,
                 contents: Contents::default(),
             })),
@@ -132,6 +135,17 @@
         state.outages += u64::from(mode == Mode::Unresponsive);
     }
 
+    /// Holds the answers to reads and polls of a table back; `None` releases them.
+    pub(crate) fn hold(&self, table: Option<&str>) {
+        self.lock().held = table.map(str::to_owned);
+    }
+
+    async fn wait_until_released(&self, table: &str) {
+        while self.lock().held.as_deref() == Some(table) {
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+
     /// Returns the number of reads and polls so far.
     pub(crate) fn reads(&self) -> usize {
         self.lock().reads
@@ -202,6 +216,7 @@
         match request.uri().path() {
             "/api/rows-get" => {
                 self.lock().reads += 1;
+                self.wait_until_released(&query["table"]).await;
                 Ok(self.lock().rows(&query["table"], 0, false))
             }
             "/api/rows-feed" => {
@@ -254,7 +269,8 @@
                     return Ok(state.answer(410, &serde_json::json!({})));
                 }
                 let is_changed = state.contents.has_changes(&query["table"], after);
-                if is_changed || began.elapsed() >= wait {
+                let is_held = state.held.as_deref() == Some(query["table"].as_str());
+                if !is_held && (is_changed || began.elapsed() >= wait) {
                     return Ok(state.rows(&query["table"], after, true));
                 }
             }
