Bring the store back from copies in the soak

The soak's store could fail in other ways only. A run may now also bring it back from a copy of 1 to 6 s ago: at once, or after it was unavailable or unresponsive for up to 1 s. The operator writes its newest configuration again within 1 s, the targets register again within 2 s, each with a higher sequence. Rows that no host reads make a return lose many versions. Afterwards, when the bounds hold again, a version is written and a target drains; the checks are the same.

--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use tokio::io::AsyncReadExt as _;
@@ -72,6 +73,8 @@
     pub(crate) address: net::SocketAddr,
     behavior: sync::Arc<sync::Mutex<Behavior>>,
     record: sync::Arc<sync::Mutex<Record>>,
+    /// Statuses that the target has registered.
+    sequence: sync::Arc<atomic::AtomicU64>,
 }
 
 impl Target {
@@ -84,6 +87,7 @@
             address: listener.local_addr().expect("address"),
             behavior: sync::Arc::new(sync::Mutex::new(Behavior::Answer)),
             record: sync::Arc::default(),
+            sequence: sync::Arc::default(),
         };
         let served = target.clone();
         tokio::spawn(async move {
@@ -108,10 +112,11 @@
         address: net::SocketAddr,
         zone: &str,
     ) {
+        let sequence = self.sequence.fetch_add(1, atomic::Ordering::Relaxed) + 1;
         let entry = serde_json::json!({
             "address": address,
             "info": {"service": "ledger", "version": "v1", "zone": zone, "slots": 4},
-            "status": {"state": state, "sequence": 1, "warmupLeftS": 0},
+            "status": {"state": state, "sequence": sequence, "warmupLeftS": 0},
             "born": 1,
         });
         store.put("servers", &self.id, &entry.to_string());
--- a/crates/host/tests/soak/deployment.rs
+++ b/crates/host/tests/soak/deployment.rs
@@ -1,5 +1,6 @@
 //! Host processes and test doubles of one soak run.
 
+use std::collections;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -12,13 +13,18 @@
 use super::proxy;
 
 /// Targets of a run; enough that a zone keeps some when one of them fails.
-const TARGETS: usize = 6;
+pub(crate) const TARGETS: usize = 6;
 const ZONES: [(&str, &str); 2] = [("a1", "a"), ("b1", "b")];
 /// Rate of the account that no run is to bring over its limit.
 const AMPLE_RATE: u64 = 100_000;
 /// Version of the first configuration.
 const FIRST_VERSION: u64 = 16;
 
+/// Rows of another table that are written at a time.
+const OTHER_ROWS: usize = 10;
+/// Age up to which copies of the store are kept.
+const MAX_COPY_AGE: time::Duration = time::Duration::from_millis(6_500);
+
 /// A version of the configuration, and when the store acknowledged it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Version {
@@ -41,6 +47,9 @@
     pub(crate) drain_locks: Vec<tokio::sync::Mutex<()>>,
     pub(crate) history: history::History,
     version: sync::Mutex<Version>,
+    /// State that each target has registered last.
+    states: Vec<sync::Mutex<&'static str>>,
+    copies: sync::Mutex<collections::VecDeque<(time::Instant, store::Contents)>>,
     numbers: atomic::AtomicU64,
 }
 
@@ -72,6 +81,8 @@
                 number: 0,
                 at: time::Instant::now(),
             }),
+            states: (0..TARGETS).map(|_n| sync::Mutex::new("ready")).collect(),
+            copies: sync::Mutex::default(),
             numbers: atomic::AtomicU64::new(0),
         };
         for n in 0..TARGETS {
@@ -100,7 +111,19 @@
     }
 
     /// Registers a target in the store.
-    pub(crate) fn register(&self, target: usize, state: &str) {
+    pub(crate) fn register(&self, target: usize, state: &'static str) {
+        let mut registered = self.states[target].lock().expect("state");
+        *registered = state;
+        self.write_target(target, state);
+    }
+
+    /// Registers a target again in the state that it has.
+    pub(crate) fn register_again(&self, target: usize) {
+        let registered = self.states[target].lock().expect("state");
+        self.write_target(target, *registered);
+    }
+
+    fn write_target(&self, target: usize, state: &str) {
         let (zone, _region) = ZONES[target % ZONES.len()];
         let address = self.target_proxies[target].address;
         self.targets[target].register_at(&self.store, state, address, zone);
@@ -115,6 +138,38 @@
         version.at = time::Instant::now();
     }
 
+    /// Writes the newest version again.
+    pub(crate) fn put_version_again(&self) {
+        let version = self.version.lock().expect("version");
+        self.store
+            .put("op", "config", &configuration(version.number));
+    }
+
+    /// Writes rows that no host reads, so that a return loses many versions.
+    pub(crate) fn write_other_rows(&self) {
+        for n in 0..OTHER_ROWS {
+            self.store.put("other", &n.to_string(), "");
+        }
+    }
+
+    /// Keeps a copy of the store, and drops those that are too old.
+    pub(crate) fn keep_copy(&self) {
+        let now = time::Instant::now();
+        let mut copies = self.copies.lock().expect("copies");
+        copies.push_back((now, self.store.copy()));
+        copies.retain(|(at, _copy)| now.duration_since(*at) < MAX_COPY_AGE);
+    }
+
+    /// Returns the youngest kept copy of an age, or the oldest if there is none.
+    pub(crate) fn copy_of(&self, age: time::Duration) -> Option<store::Contents> {
+        let now = time::Instant::now();
+        let copies = self.copies.lock().expect("copies");
+        let is_older = |at: &time::Instant| now.duration_since(*at) >= age;
+        let older = copies.iter().rfind(|(at, _copy)| is_older(at));
+        let (_at, copy) = older.or_else(|| copies.front())?;
+        Some(copy.clone())
+    }
+
     pub(crate) fn version(&self) -> Version {
         *self.version.lock().expect("version")
     }
--- a/crates/host/tests/soak/fault.rs
+++ b/crates/host/tests/soak/fault.rs
@@ -38,9 +38,72 @@
     Leave(usize),
     /// The operator changes routes and keys.
     Version,
+    /// The store comes back from a copy.
+    Restore(Return),
+}
+
+/// A return of the store from a copy; what is lost is written again after some time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Return {
+    copy_age: time::Duration,
+    /// How the store is away before; `None` if it isn't.
+    absence: Option<store::Mode>,
+    rewrite_after: time::Duration,
+    register_after: [time::Duration; deployment::TARGETS],
+}
+
+impl Return {
+    fn draw(random: &mut rand_chacha::ChaCha8Rng) -> Self {
+        let mut millis = |range| time::Duration::from_millis(random.random_range(range));
+        let copy_age = millis(1_000..6_000);
+        let rewrite_after = millis(0..1_000);
+        let register_after = std::array::from_fn(|_n| millis(0..2_000));
+        let absences = [
+            None,
+            Some(store::Mode::Unresponsive),
+            Some(store::Mode::Unavailable),
+        ];
+        Self {
+            copy_age,
+            absence: *absences.choose(random).expect("an absence"),
+            rewrite_after,
+            register_after,
+        }
+    }
+
+    /// Takes the store away, and brings it back.
+    async fn bring_back(&self, deployment: &deployment::Deployment, duration: time::Duration) {
+        if let Some(mode) = self.absence {
+            deployment.store.set_mode(mode);
+            tokio::time::sleep(duration).await;
+        }
+        if let Some(copy) = deployment.copy_of(self.copy_age) {
+            deployment.store.restore(&copy);
+        }
+        deployment.store.set_mode(store::Mode::Serving);
+    }
+
+    /// Has the operator and the targets write again.
+    async fn rewrite(&self, deployment: &deployment::Deployment) {
+        let operator = async {
+            tokio::time::sleep(self.rewrite_after).await;
+            deployment.put_version_again();
+        };
+        let targets = self.register_after.iter().enumerate();
+        let targets = targets.map(|(n, delay)| async move {
+            tokio::time::sleep(*delay).await;
+            deployment.register_again(n);
+        });
+        futures::future::join(operator, futures::future::join_all(targets)).await;
+    }
 }
 
 impl Fault {
+    /// Draws a return of the store.
+    pub(crate) fn draw_return(random: &mut rand_chacha::ChaCha8Rng) -> Self {
+        Self::Restore(Return::draw(random))
+    }
+
     /// Draws a random fault.
     pub(crate) fn draw(
         random: &mut rand_chacha::ChaCha8Rng,
@@ -97,6 +160,9 @@
                 .history
                 .end_disturbance(place, time::Instant::now());
         }
+        if let Self::Restore(restored) = self {
+            restored.rewrite(deployment).await;
+        }
     }
 
     /// Returns the place whose time bounds do not hold during the fault, if any.
@@ -108,7 +174,7 @@
             | Self::Reload(n)
             | Self::StoreNetwork(n, _)
             | Self::CallerNetwork(n, _) => Some(history::Place::Host(n)),
-            Self::Store(_) => Some(history::Place::Store),
+            Self::Store(_) | Self::Restore(_) => Some(history::Place::Store),
             Self::TargetNetwork(..) | Self::Target(..) | Self::Leave(_) | Self::Version => None,
         }
     }
@@ -160,6 +226,7 @@
                 deployment.register(n, "ready");
             }
             Self::Version => deployment.put_version(),
+            Self::Restore(restored) => restored.bring_back(deployment, duration).await,
         }
     }
 }
--- a/crates/host/tests/soak/main.rs
+++ b/crates/host/tests/soak/main.rs
@@ -1,8 +1,9 @@
 //! Soak test: injects faults into host processes, also overlapping ones, and checks invariants
 //! from what callers and targets see.
 //!
-//! A short run with fixed seeds is part of the tests. Longer runs are set with the
-//! environment variables `SOAK_SEEDS=1..50`, `SOAK_HOSTS` and `SOAK_SECONDS` (of faults).
+//! Short runs with fixed seeds, with and without returns of the store from a copy, are part of
+//! the tests. Longer runs are set with the environment variables `SOAK_SEEDS=1..50`, `SOAK_HOSTS`
+//! and `SOAK_SECONDS` (of faults).
 
 #[path = "../common/mod.rs"]
 #[expect(dead_code, reason = "shared with the other tests of the process")]
@@ -27,6 +28,14 @@
 const SHORT_SEEDS: ops::Range<u64> = 3..5;
 /// Seconds in which faults begin in the short run.
 const SHORT_FAULT_SECONDS: u64 = 8;
+/// Seeds of the short run with returns of the store from a copy.
+const RESTORE_SEEDS: ops::Range<u64> = 8..10;
+/// Time between two copies of the store.
+const COPY_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Milliseconds between two returns.
+const RETURN_PAUSE: ops::Range<u64> = 1_000..5_000;
+/// Stream of the random numbers for returns, so that a seed's other faults stay as they are.
+const RETURN_STREAM: u64 = 1;
 /// Hosts of a run, alternating between two zones, so that a zone with a failed host keeps one.
 const HOSTS: usize = 4;
 /// Callers at each host that keep their connections.
@@ -60,6 +69,14 @@
     seed: u64,
     hosts: usize,
     duration: time::Duration,
+    returns: Returns,
+}
+
+/// Whether the store comes back from copies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Returns {
+    Never,
+    Drawn,
 }
 
 impl Plan {
@@ -68,22 +85,37 @@
             seed,
             hosts,
             duration: time::Duration::from_secs(seconds),
+            returns: Returns::Never,
         }
     }
+
+    /// Returns the plans of a seeded run, as set by the environment.
+    fn of_run(short_seeds: ops::Range<u64>, returns: Returns) -> impl Iterator<Item = Self> {
+        let setting = |name: &str| std::env::var(name).ok();
+        let number = |name: &str| setting(name).map(|text| text.parse::<u64>().expect(name));
+        let seeds = setting("SOAK_SEEDS").map_or(short_seeds, |text| {
+            let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
+            let bound = |text: &str| text.parse::<u64>().expect("SOAK_SEEDS is FIRST..LAST");
+            bound(first)..bound(last) + 1
+        });
+        let duration = number("SOAK_SECONDS").unwrap_or(SHORT_FAULT_SECONDS);
+        let hosts = number("SOAK_HOSTS");
+        let hosts = hosts.map_or(HOSTS, |hosts| usize::try_from(hosts).expect("hosts"));
+        seeds.map(move |seed| Self {
+            returns,
+            ..Self::new(seed, hosts, duration)
+        })
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn invariants_hold_under_seeded_faults() {
-    let setting = |name: &str| std::env::var(name).ok();
-    let number = |name: &str| setting(name).map(|text| text.parse::<u64>().expect(name));
-    let seeds = setting("SOAK_SEEDS").map_or(SHORT_SEEDS, |text| {
-        let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
-        let bound = |text: &str| text.parse::<u64>().expect("SOAK_SEEDS is FIRST..LAST");
-        bound(first)..bound(last) + 1
-    });
-    let duration = number("SOAK_SECONDS").unwrap_or(SHORT_FAULT_SECONDS);
-    let hosts = number("SOAK_HOSTS").map_or(HOSTS, |hosts| usize::try_from(hosts).expect("hosts"));
-    run_seeds(seeds.map(|seed| Plan::new(seed, hosts, duration))).await;
+    run_seeds(Plan::of_run(SHORT_SEEDS, Returns::Never)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_when_the_store_comes_back_from_copies() {
+    run_seeds(Plan::of_run(RESTORE_SEEDS, Returns::Drawn)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -191,6 +223,9 @@
     }
     inject(&deployment, plan).await;
     wait_for_recovery(&deployment).await;
+    if plan.returns == Returns::Drawn {
+        change_undisturbed(&deployment, plan).await;
+    }
     is_over.store(true, atomic::Ordering::SeqCst);
     while let Some(ended) = tasks.join_next().await {
         ended.expect("a caller's task");
@@ -239,6 +274,9 @@
 async fn inject(deployment: &sync::Arc<deployment::Deployment>, plan: Plan) {
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = tokio::task::JoinSet::new();
+    if plan.returns == Returns::Drawn {
+        faults.spawn(inject_returns(sync::Arc::clone(deployment), plan));
+    }
     let began = time::Instant::now();
     while began.elapsed() < plan.duration {
         let fault = fault::Fault::draw(&mut random, deployment);
@@ -273,6 +311,39 @@
     }
 }
 
+/// Brings the store back from copies now and then.
+async fn inject_returns(deployment: sync::Arc<deployment::Deployment>, plan: Plan) {
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(plan.seed);
+    random.set_stream(RETURN_STREAM);
+    let mut returns = tokio::task::JoinSet::new();
+    let began = time::Instant::now();
+    let mut due = began + time::Duration::from_millis(random.random_range(RETURN_PAUSE));
+    while began.elapsed() < plan.duration {
+        deployment.keep_copy();
+        // After the last return versions stay below the lost ones for long.
+        if due < began + plan.duration {
+            deployment.write_other_rows();
+        }
+        tokio::time::sleep(COPY_INTERVAL).await;
+        if time::Instant::now() < due {
+            continue;
+        }
+        let fault = fault::Fault::draw_return(&mut random);
+        let duration = time::Duration::from_millis(random.random_range(200..1_000));
+        println!(
+            "seed {}: {:?} {fault:?} {duration:?}",
+            plan.seed,
+            began.elapsed()
+        );
+        let shared = sync::Arc::clone(&deployment);
+        returns.spawn(async move { fault.apply(&shared, duration).await });
+        due += time::Duration::from_millis(random.random_range(RETURN_PAUSE));
+    }
+    while let Some(ended) = returns.join_next().await {
+        ended.expect("a return's task");
+    }
+}
+
 /// Waits until every host serves, and records a violation if that takes too long.
 async fn wait_for_recovery(deployment: &deployment::Deployment) {
     let began = time::Instant::now();
@@ -296,6 +367,15 @@
     }
 }
 
+/// Changes the configuration and drains a target when the time bounds hold again.
+async fn change_undisturbed(deployment: &deployment::Deployment, plan: Plan) {
+    tokio::time::sleep(history::CONTACT_TIME).await;
+    deployment.put_version();
+    let target = usize::try_from(plan.seed).expect("seed") % deployment.targets.len();
+    let leave = fault::Fault::Leave(target);
+    leave.apply(deployment, history::APPLY_TIME).await;
+}
+
 fn safe_request(path: &str) -> caller::RequestSpec<'_> {
     caller::RequestSpec {
         path,
