Retain after a return only what the copy leaves out

Cause: a return was recorded like the end of an outage, at the moment at which each host noticed it. Removals that followed within 2.2 s were taken for entries that had expired in an outage, on hosts that had seen none, too.

Change: a target that the copy leaves out is retained for the registration time; a removal after the copy takes effect at once, unless the host saw an outage, as before.

The test check_lost_leave left the entry of the target that is gone in the store for good.

--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -76,8 +76,18 @@
 #[derive(Debug)]
 struct Entry {
     target: target::Target,
-    /// Whether the target is retained although the store doesn't list it any more.
-    is_retained: bool,
+    retention: Retention,
+}
+
+/// Why a target is retained although the store doesn't list it any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Retention {
+    /// The store lists the target.
+    None,
+    /// Its entry may have expired in an outage.
+    Outage,
+    /// The copy from which the store returned may be older than the entry.
+    Copy,
 }
 
 /// Whether the store is reachable, and since when.
@@ -100,13 +110,18 @@
         self
     }
 
-    /// Records that the store returned from an older copy.
-    ///
-    /// What the copy leaves out may have registered since, and what it lists may have left.
+    /// Records that the store returned from an older copy, whose entries may be outdated.
     pub const fn restore(&mut self, now: instant::Instant) {
         self.restored_at = Some(now);
-        if !matches!(self.store, StoreReach::Lost) {
-            self.store = StoreReach::Since(now);
+    }
+
+    /// Retains a target that the copy leaves out, unless it is draining.
+    pub fn retain_missing(&mut self, id: &name::Target) {
+        match self.entries.get_mut(id) {
+            Some(entry) if entry.target.state == target::TargetState::Ready => {
+                entry.retention = Retention::Copy;
+            }
+            _ => self.drop_entry(id),
         }
     }
 
@@ -135,7 +150,7 @@
         }
         if self.restored_at.is_some() && newest.is_some_and(|newest| newest.is_after(&target)) {
             if let Some(entry) = self.entries.get_mut(&target.id) {
-                entry.is_retained = false;
+                entry.retention = Retention::None;
             }
             self.outdated.insert(target.id.clone(), target);
             return false;
@@ -158,7 +173,7 @@
         self.newest.insert(id.clone(), description);
         let entry = Entry {
             target,
-            is_retained: false,
+            retention: Retention::None,
         };
         self.entries.insert(id, entry);
     }
@@ -171,7 +186,7 @@
         let entry = self.entries.get_mut(id);
         match entry.filter(|entry| entry.target.state == target::TargetState::Ready) {
             Some(entry) if !is_certain && !is_authoritative(self.store, now) => {
-                entry.is_retained = true;
+                entry.retention = Retention::Outage;
             }
             _ => self.drop_entry(id),
         }
@@ -218,10 +233,21 @@
 
     /// Removes and returns the retained targets that did not register again in time.
     pub fn expire(&mut self, now: instant::Instant) -> Vec<name::Target> {
-        if !is_authoritative(self.store, now) {
+        if self.store == StoreReach::Lost {
             return Vec::new();
         }
-        let expired = self.entries.iter().filter(|(_id, entry)| entry.is_retained);
+        let is_listed_again = is_authoritative(self.store, now);
+        let is_copy_complete = self
+            .restored_at
+            .is_none_or(|at| now.since(at) >= REGISTRATION_TIME);
+        let expired = self
+            .entries
+            .iter()
+            .filter(|(_id, entry)| match entry.retention {
+                Retention::None => false,
+                Retention::Outage => is_listed_again,
+                Retention::Copy => is_listed_again && is_copy_complete,
+            });
         let ids: Vec<name::Target> = expired.map(|(id, _entry)| id.clone()).collect();
         for id in &ids {
             self.drop_entry(id);
@@ -232,7 +258,11 @@
     /// Returns the targets that are retained although the store doesn't list them any more.
     #[must_use]
     pub fn retained(&self) -> Vec<name::Target> {
-        let retained = self.entries.iter().filter(|(_id, entry)| entry.is_retained);
+        let is_retained = |entry: &Entry| entry.retention != Retention::None;
+        let retained = self
+            .entries
+            .iter()
+            .filter(|(_id, entry)| is_retained(entry));
         retained.map(|(id, _entry)| id.clone()).collect()
     }
 
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -450,9 +450,13 @@
     ) {
         log::info!(target_id = row.key.as_str(), row:% = row.version, source = source.as_str(); "target no longer listed");
         if let Ok(id) = name::Target::new(&row.key) {
-            let is_certain =
-                is_final && matches!(source, Source::Host(retained) if !retained.contains(&id));
-            self.registry.remove(&id, is_certain, now);
+            if is_final {
+                let is_certain =
+                    matches!(source, Source::Host(retained) if !retained.contains(&id));
+                self.registry.remove(&id, is_certain, now);
+            } else {
+                self.registry.retain_missing(&id);
+            }
         }
     }
 }
--- a/crates/host/tests/restored.rs
+++ b/crates/host/tests/restored.rs
@@ -14,6 +14,8 @@
 use common::store;
 use common::target;
 
+/// Time after which the store drops the entry of a silent target, three heartbeats.
+const LAPSE_TIME: time::Duration = time::Duration::from_millis(4_500);
 /// Time in which a change must be in force after the store has acknowledged it, `configApplyS`.
 const APPLY_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Time in which a target that left must get no more requests, `drainS`.
@@ -323,6 +325,11 @@
     tokio::time::sleep(DRAIN_TIME).await;
     let returned = time::Instant::now();
     bring_back(&store, &copy).await;
+    let silent = (store.clone(), left.id.clone());
+    tokio::spawn(async move {
+        tokio::time::sleep(LAPSE_TIME).await;
+        silent.0.remove("servers", &silent.1);
+    });
     register(&store, &other, "ready", 2);
     send_requests(&host, REWRITE_TIME).await;
     // Without another target the host would have to use the one that left.
