Let the stand-in platform come back from a copy

The product's own stand-in of its platform could be down, slow or lose responses, and lost nothing else. PUT /copy keeps a copy of its rows and objects, PUT /restore brings it back: what was written since is lost, versions of rows go back and are given out again, and every response names the era in Store-Era.

Its protocol has a version for each row, no version of the whole store and no feed, so there is no read from a version that it lacks to be refused; a condition on a lost version gets 409 as any other. Clients pass over the header. Daemons that tell eras apart would need it in skylark_wire::platform, in responses and as a condition of transactions; that is left.

Ruled out: versions that go on rising after a return, which the platform does not promise.

--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -17,6 +17,9 @@
 type SharedStore = sync::Arc<sync::Mutex<store::Store>>;
 type Body = http_body_util::Full<Bytes>;
 
+/// Header that names the era of the contents in each response.
+const ERA: &str = "store-era";
+
 /// Serves the stand-in platform until the process ends.
 ///
 /// # Errors
@@ -60,15 +63,22 @@
     let mut segments = path.trim_start_matches('/').splitn(2, '/');
     let resource = segments.next().unwrap_or_default();
     let subpath = segments.next().unwrap_or_default();
-    if let Some(response) = control(&shared, &head.method, resource, &body) {
-        return Ok(response);
+    {
+        let mut store = lock(&shared);
+        if let Some(response) = control(&mut store, &head.method, resource, &body) {
+            return Ok(with_era(response, &store));
+        }
     }
     let faults = lock(&shared).faults;
     tokio::time::sleep(time::Duration::from_millis(faults.slow_millis)).await;
     if faults.down {
         return Err(NoResponse);
     }
-    let response = respond(&mut lock(&shared), &head.method, resource, subpath, &body);
+    let response = {
+        let mut store = lock(&shared);
+        let response = respond(&mut store, &head.method, resource, subpath, &body);
+        with_era(response, &store)
+    };
     let is_write = head.method != hyper::Method::GET;
     if is_write && take_lost_response(&shared) {
         return Err(NoResponse);
@@ -87,14 +97,19 @@
     is_lost
 }
 
-/// Serves the control routes of tests (faults, hosts, counts), which also work while it is down.
+fn with_era(mut response: hyper::Response<Body>, store: &store::Store) -> hyper::Response<Body> {
+    response.headers_mut().insert(ERA, store.era().into());
+    response
+}
+
+/// Serves the control routes of tests (faults, hosts, copies, counts), which also work while it is
+/// down.
 fn control(
-    shared: &SharedStore,
+    store: &mut store::Store,
     method: &hyper::Method,
     resource: &str,
     body: &Bytes,
 ) -> Option<hyper::Response<Body>> {
-    let mut store = lock(shared);
     match (method.as_str(), resource) {
         ("PUT", "faults") => {
             let Ok(faults) = serde_json::from_slice::<fault::Faults>(body) else {
@@ -110,6 +125,12 @@
             store.hosts = hosts;
             Some(status(200))
         }
+        ("PUT", "copy") => {
+            store.keep_copy();
+            Some(status(200))
+        }
+        ("PUT", "restore") if store.restore() => Some(status(200)),
+        ("PUT", "restore") => Some(status(404)),
         ("GET", "counts") => Some(json(&store.counts)),
         _ => None,
     }
