--- a/crates/host/tests/restored.rs
+++ b/crates/host/tests/restored.rs
@@ -155,7 +155,13 @@
     while began.elapsed() < duration {
         let found = statuses(host, version).await;
         let at = began.elapsed();
-        assert_eq!(found, IN_FORCE, "version {version}, {at:?} later");
+        let log = || host.log();
+        assert_eq!(
+            found,
+            IN_FORCE,
+            "version {version}, {at:?} later:\n{}",
+            log()
+        );
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
 }
