Check for a suspension before each attempt, also after a connect

What callers saw: a request whose first attempt broke off while the host was paused was sent on to a target that had left meanwhile, and a caller got its answer as if nothing had changed. The same held for a request whose connection was being opened when the pause began.

Change: the check is made before every attempt and after a connection was opened. What was not sent is refused as not run; an idempotent request that may have run at an earlier target gets 502. A connection that timed out across a suspension no longer ejects its target.

The part after a connect has no test of its own: loopback connects at once.

--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -20,6 +20,8 @@
 /// Part of the deadline reserved for the response's way back, so that a target's own timeout
 /// response arrives before this host gives up.
 const RETURN_MARGIN: time::Duration = time::Duration::from_millis(5);
+/// Reason for the request log of a request that is not sent on after a suspension.
+pub(crate) const SUSPENDED: &str = "host was suspended; catching up";
 /// Status of a target that is not the one named in the request.
 const STATUS_MISDIRECTED: u16 = 421;
 
@@ -73,6 +75,8 @@
     pub(crate) reason: &'static str,
     /// Why the caller's body could not be passed on whole.
     pub(crate) upload_fault: Option<upload::Fault>,
+    /// Whether nothing was sent because what the host knows may be from before a suspension.
+    pub(crate) is_withheld: bool,
 }
 
 impl Outcome {
@@ -82,6 +86,14 @@
             response: None,
             reason,
             upload_fault: None,
+            is_withheld: false,
+        }
+    }
+
+    fn withheld() -> Self {
+        Self {
+            is_withheld: true,
+            ..Self::without(traffic::AttemptResult::Cancelled, SUSPENDED)
         }
     }
 }
@@ -94,6 +106,9 @@
     payload: &mut Payload,
 ) -> Outcome {
     loop {
+        if state.is_catching_up() {
+            return Outcome::withheld();
+        }
         let now = state.clock.now();
         let pooled = state
             .connections
@@ -101,6 +116,8 @@
         let connection = match pooled {
             Some(connection) => connection,
             None => match connect(state, pick, request).await {
+                // The host may have been suspended while the connection was opened.
+                _ if state.is_catching_up() => return Outcome::withheld(),
                 Ok(connection) => connection,
                 Err(reason) => {
                     return Outcome::without(traffic::AttemptResult::ConnectFailed, reason);
@@ -302,6 +319,7 @@
         response: Some(hyper::Response::from_parts(parts, body)),
         reason: "answered",
         upload_fault: None,
+        is_withheld: false,
     }
 }
 
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -263,7 +263,7 @@
 /// Refuses requests while what this host knows may be from before a suspension.
 fn refuse_while_catching_up(state: &state::State) -> Result<(), Rejection> {
     if state.is_catching_up() {
-        let reason = "host was suspended; catching up";
+        let reason = exchange::SUSPENDED;
         return Err(Rejection::new(kind::ErrorKind::NotReady, reason).with_delay(OTHER_HOST_DELAY));
     }
     Ok(())
@@ -416,17 +416,6 @@
     let mut sends = 0;
     loop {
         let pick = pick_target(state, request, entry).await?;
-        if sends == 0
-            && let Err(rejection) = refuse_while_catching_up(state)
-        {
-            let result = traffic::AttemptResult::Cancelled;
-            let now = state.clock.now();
-            let mut cluster = state.cluster();
-            cluster
-                .dispatcher_mut()
-                .record_result(request, &pick, result, now);
-            return Err(rejection);
-        }
         state.metrics.record_send(pick.warmth, sends > 0);
         entry.picks.push(pick.clone());
         request.tried.push(pick.target.clone());
@@ -439,6 +428,9 @@
         let outcome = exchange::run(state, &attempt.pick, outgoing, payload).await;
         attempt.result = outcome.result;
         drop(attempt);
+        if outcome.is_withheld {
+            return Err(withheld(request, sends));
+        }
         let is_unsent = |result| matches!(result, traffic::AttemptResult::ConnectFailed);
         if !is_unsent(outcome.result) {
             sends += 1;
@@ -473,6 +465,17 @@
     }
 }
 
+/// Returns the rejection of a request whose next attempt is withheld after `sends` others, as the
+/// host was suspended.
+fn withheld(request: &traffic::Request, sends: usize) -> Rejection {
+    let reason = exchange::SUSPENDED;
+    // An idempotent request may have run at an earlier target.
+    if sends > 0 && request.route.is_idempotent() {
+        return Rejection::new(kind::ErrorKind::TargetFailed, reason);
+    }
+    Rejection::new(kind::ErrorKind::NotReady, reason).with_delay(OTHER_HOST_DELAY)
+}
+
 /// Returns the rejection of a request whose last attempt gave no usable response.
 fn rejection(
     state: &state::State,
--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -27,6 +27,8 @@
     RefuseToRun,
     /// Reads the request and closes the connection.
     Disconnect,
+    /// Reads the request and closes the connection after a while.
+    DisconnectLate,
     /// Runs the request and never answers.
     Hang,
     /// Closes the connection in the middle of its response.
@@ -176,7 +178,7 @@
                 return;
             };
             self.record_request(&head, body, behavior);
-            if behavior == Behavior::AnswerSlowly {
+            if matches!(behavior, Behavior::AnswerSlowly | Behavior::DisconnectLate) {
                 tokio::time::sleep(SLOW_TIME).await;
             }
             let answer = match behavior {
@@ -185,7 +187,7 @@
                     "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
                      Content-Length: 0\r\n\r\n"
                 ),
-                Behavior::Disconnect => return,
+                Behavior::Disconnect | Behavior::DisconnectLate => return,
                 Behavior::AnswerEarly => continue,
                 Behavior::Hang => {
                     let mut byte = [0];
--- a/crates/host/tests/suspension.rs
+++ b/crates/host/tests/suspension.rs
@@ -125,3 +125,42 @@
         "{pause:?}: sent to a target that had left"
     );
 }
+
+/// The first target breaks off while the host is paused, and the only other one leaves.
+#[tokio::test]
+async fn a_paused_process_repeats_no_request_at_a_target_that_has_left() {
+    let store = store::Store::start().await;
+    let rules = host::configuration("0000000a", "/look/");
+    let rules = rules.replace("\"timeoutS\":4", "\"timeoutS\":9");
+    store.put("op", "config", &rules);
+    let targets = [
+        target::Target::start("i-1").await,
+        target::Target::start("i-2").await,
+    ];
+    for target in &targets {
+        target.register(&store, "ready");
+    }
+    let host = host::Host::start(&store).await;
+    let first = host.request("GET", "/look/x", "before").await;
+    assert_eq!(first.status, 200, "{}", host.log());
+    let own = targets.iter().position(|target| !target.heads().is_empty());
+    let own = own.expect("a target");
+    let (own, other) = (&targets[own], &targets[1 - own]);
+    own.set_behavior(target::Behavior::DisconnectLate);
+    let mut caller = raw::Caller::connect(host.callers).await;
+    let head = raw::head("GET", "/look/x", "repeated", "Deadline-Ms: 9000\r\n");
+    caller.send(head).await.expect("send");
+    common::eventually("the request runs", || async { own.heads().len() == 2 }).await;
+    host.signal("-STOP");
+    store.remove("servers", &other.id);
+    tokio::time::sleep(PAUSES[0]).await;
+    host.signal("-CONT");
+    let answer = caller.read().await.expect("an answer");
+    assert_eq!(answer.status, 502, "it may have run at {}", own.id);
+    assert!(
+        other.heads().is_empty(),
+        "{:?}\n{}",
+        other.heads(),
+        host.log()
+    );
+}
