Let whichever target gets an upload first refuse it

It assumed that the large body goes first to the target that had just refused the small one. The host may rightly choose the other one: a refusal counts against its target for about a second, and when the body arrives slowly the request has too little time left for that target.

Now both targets refuse a request that neither refused before, and run it the second time. The test no longer depends on the choice, and is stricter: the small body must have been refused once, the large one must arrive exactly once, and no other request at all. The messages hold the host's log.

--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -1,5 +1,6 @@
 //! Test double of a target on a raw socket, so that it can also violate the protocol.
 
+use std::collections;
 use std::net;
 use std::sync;
 use std::time;
@@ -25,6 +26,8 @@
     Answer,
     /// Answers that it did not run the request.
     RefuseToRun,
+    /// Answers that it did not run the request unless another target said so before.
+    RefuseOnce,
     /// Reads the request and closes the connection.
     Disconnect,
     /// Reads the request and closes the connection after a while.
@@ -74,10 +77,20 @@
     pub(crate) address: net::SocketAddr,
     behavior: sync::Arc<sync::Mutex<Behavior>>,
     record: sync::Arc<sync::Mutex<Record>>,
+    /// Ids of the requests that any target refused once.
+    refused: RefusedIds,
 }
 
+/// Ids of refused requests, shared by the targets of a test.
+type RefusedIds = sync::Arc<sync::Mutex<collections::HashSet<String>>>;
+
 impl Target {
     pub(crate) async fn start(id: &str) -> Self {
+        Self::start_beside(id, &[]).await
+    }
+
+    /// Starts a target that knows which requests the others refused.
+    pub(crate) async fn start_beside(id: &str, others: &[Self]) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
             .await
             .expect("bind");
@@ -86,6 +99,10 @@
             address: listener.local_addr().expect("address"),
             behavior: sync::Arc::new(sync::Mutex::new(Behavior::Answer)),
             record: sync::Arc::default(),
+            refused: others
+                .first()
+                .map(|other| RefusedIds::clone(&other.refused))
+                .unwrap_or_default(),
         };
         let served = target.clone();
         tokio::spawn(async move {
@@ -141,6 +158,11 @@
         self.record.lock().expect("record").disconnects
     }
 
+    /// Returns whether no target refused a request before, and records that this one does.
+    fn refuses(&self, id: &str) -> bool {
+        self.refused.lock().expect("ids").insert(id.to_owned())
+    }
+
     fn record_request(&self, head: &str, body: Vec<u8>, behavior: Behavior) {
         let mut record = self.record.lock().expect("record");
         record.heads.push(head.to_owned());
@@ -161,7 +183,11 @@
         }
         while let Some(head) = read_head(&mut stream, &mut pending).await {
             let id = value(&head, "request-id").unwrap_or_default();
-            let behavior = *self.behavior.lock().expect("behavior");
+            let behavior = match *self.behavior.lock().expect("behavior") {
+                Behavior::RefuseOnce if self.refuses(&id) => Behavior::RefuseToRun,
+                Behavior::RefuseOnce => Behavior::Answer,
+                behavior => behavior,
+            };
             let text = format!("{} answered {id}", self.id);
             let whole = format!(
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s.{id}\r\n\
@@ -183,6 +209,7 @@
             }
             let answer = match behavior {
                 Behavior::Answer | Behavior::AnswerSlowly | Behavior::ReadLate => whole,
+                Behavior::RefuseOnce => unreachable!("decided for each request"),
                 Behavior::RefuseToRun => format!(
                     "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
                      Content-Length: 0\r\n\r\n"
--- a/crates/host/tests/uploads.rs
+++ b/crates/host/tests/uploads.rs
@@ -23,7 +23,7 @@
     store.put("op", "config", &text);
     let mut targets = Vec::new();
     for id in ids {
-        let target = target::Target::start(id).await;
+        let target = target::Target::start_beside(id, &targets).await;
         target.register(&store, "ready");
         targets.push(target);
     }
@@ -46,20 +46,27 @@
         .expect("an answer")
 }
 
+/// Whichever target gets a body first refuses it; the other one would run it.
 #[tokio::test]
 async fn a_refused_body_is_sent_again_only_while_it_is_held() {
     let (host, targets) = deployment(&["i-1", "i-2"]).await;
-    upload(&host, "first", body(10)).await;
-    let first = targets.iter().position(|target| !target.heads().is_empty());
-    let first = first.expect("a target");
-    targets[first].set_behavior(target::Behavior::RefuseToRun);
+    for target in &targets {
+        target.set_behavior(target::Behavior::RefuseOnce);
+    }
     let reply = upload(&host, "small", body(SMALL_BYTES)).await;
-    assert_eq!(reply.status, 200);
-    assert_eq!(targets[1 - first].bodies(), [body(SMALL_BYTES)]);
+    assert_eq!(reply.status, 200, "{}", host.log());
+    for target in &targets {
+        assert_eq!(target.bodies(), [body(SMALL_BYTES)], "{}", target.id);
+    }
     let reply = upload(&host, "large", body(LARGE_BYTES)).await;
-    assert_eq!(reply.status, 503, "not run, and its bytes are gone");
+    let log = host.log();
+    assert_eq!(reply.status, 503, "not run, and its bytes are gone\n{log}");
     assert!(reply.header("retry-after").is_some());
-    assert_eq!(targets[1 - first].bodies().len(), 1);
+    let sent = bodies(&targets);
+    let sent = sent.iter().filter(|body| body.len() == LARGE_BYTES);
+    assert_eq!(sent.count(), 1, "{log}");
+    let heads = targets.iter().flat_map(target::Target::heads);
+    assert_eq!(heads.count(), 3, "{log}");
 }
 
 #[tokio::test]
@@ -91,7 +98,7 @@
         drop(caller);
     }
     let reply = upload(&host, "whole", body(10)).await;
-    assert_eq!(reply.status, 200);
+    assert_eq!(reply.status, 200, "{}", host.log());
     assert_eq!(bodies(&targets), [body(10)]);
 }
 
@@ -200,7 +207,8 @@
         .await
         .expect("half");
     tokio::time::sleep(time::Duration::from_secs(2)).await;
-    assert_eq!(upload(&host, "other", body(10)).await.status, 200);
+    let reply = upload(&host, "other", body(10)).await;
+    assert_eq!(reply.status, 200, "{}", host.log());
     caller
         .send(&body(LARGE_BYTES)[LARGE_BYTES / 2..])
         .await
