Tell a cut at a planned stop from a caller that reads too slowly

The caller had 1.2 MB at 5.2 s, as its buffer of 4 KiB gives it 4,096 bytes each 20 ms, and had to read the other 23.9 MB in the half second that was left.

That the caller gets the whole answer is checked in a second test without an alternative: the same reader, with a grace period of 24 s.

--- a/crates/host/tests/common/host.rs
+++ b/crates/host/tests/common/host.rs
@@ -66,6 +66,16 @@
             .await
     }
 
+    /// Starts a process with a grace period, and waits until it is ready.
+    pub(crate) async fn start_with_grace(store: &store::Store, grace: time::Duration) -> Self {
+        let change = |settings: &mut serde_json::Value| {
+            settings["terms"]["bounds"]["graceS"] = grace.as_secs().into();
+        };
+        Self::spawn_changed(Place::new(store, NAME), None, change)
+            .wait_until_ready()
+            .await
+    }
+
     async fn wait_until_ready(self) -> Self {
         let host = self;
         let began = time::Instant::now();
@@ -88,6 +98,15 @@
     }
 
     fn spawn(place: Place<'_>, pipe: Option<std::io::PipeWriter>) -> Self {
+        Self::spawn_changed(place, pipe, |_settings| {})
+    }
+
+    /// Starts a process whose settings are changed first.
+    fn spawn_changed(
+        place: Place<'_>,
+        pipe: Option<std::io::PipeWriter>,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Self {
         let directory = tempfile::tempdir().expect("directory");
         let [callers, readiness, control, lookups, reports, metrics] = free_addresses();
         let mut settings = settings(
@@ -101,6 +120,7 @@
         settings["self"]["node"] = place.name.into();
         settings["self"]["zone"] = place.zone.into();
         settings["self"]["region"] = place.region.into();
+        change(&mut settings);
         std::fs::write(directory.path().join("boot.json"), settings.to_string()).expect("write");
         let child = launch(directory.path(), metrics.port(), pipe);
         Self {
