Let the store be slow where a request is repeated after a pause

Since a host reads the store at once when it wakes up, the test could pass without the change that it guards: without it, it failed in 1 of 2 runs. With the targets' answers held back it fails in 3 of 3 runs without the change (200 from the target that had left) and passes in 3 of 3 with it, and once beside 12 busy processes with the other tests of the file.

--- a/crates/host/tests/suspension.rs
+++ b/crates/host/tests/suspension.rs
@@ -225,11 +225,13 @@
     let head = raw::head("GET", "/look/x", "repeated", "Deadline-Ms: 9000\r\n");
     caller.send(head).await.expect("send");
     common::eventually("the request runs", || async { own.heads().len() == 2 }).await;
+    store.hold(Some("servers"));
     host.signal("-STOP");
     store.remove("servers", &other.id);
     tokio::time::sleep(PAUSES[0]).await;
     host.signal("-CONT");
     let answer = caller.read().await.expect("an answer");
+    store.hold(None);
     assert_eq!(answer.status, 502, "it may have run at {}", own.id);
     assert!(
         other.heads().is_empty(),
