Take no evidence from a host that was suspended itself

Callers would have seen: two hosts that were paused together (one machine, one zone) each took the other's answer as proof that nothing had changed, and honoured a withdrawn key until the store had answered; with a slow store for as long as it was slow.

Cause: any answer of a host at least as far as the asking one ended the refusals.

Change: a host that is catching up says so in a header of its answer. The header is ignored by hosts of an older build, and answers of those count as before.

Limit, as before: a host that gets no evidence within a second serves on with what it knows.

--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -24,6 +24,9 @@
 /// Header with the version of the configuration that the answering host has in force.
 pub(crate) const IN_FORCE: hyper::header::HeaderName =
     hyper::header::HeaderName::from_static("configuration-version");
+/// Header of an answer of a host that was suspended and may lack what changed meanwhile.
+pub(crate) const CATCHING_UP: hyper::header::HeaderName =
+    hyper::header::HeaderName::from_static("catching-up");
 /// Content encoding of compressed changes.
 pub(crate) const DEFLATE: &str = "deflate";
 /// Bytes of answers that may be on their way to other hosts at once, unless it is a single one.
@@ -142,6 +145,9 @@
     if let Some(version) = in_force {
         response.headers_mut().insert(IN_FORCE, version.into());
     }
+    if state.is_catching_up() {
+        response.headers_mut().insert(CATCHING_UP, 1.into());
+    }
     if is_compressed {
         let encoding = hyper::header::HeaderValue::from_static(DEFLATE);
         let headers = response.headers_mut();
--- a/crates/host/src/pull.rs
+++ b/crates/host/src/pull.rs
@@ -53,8 +53,14 @@
 
 /// The answer of another host.
 pub(crate) enum Answer {
-    /// The changes, and the version of the configuration that the host has in force, if any.
-    Changes(peers::Delta, Option<u64>),
+    /// The changes.
+    Changes {
+        delta: peers::Delta,
+        /// Version of the configuration that the host has in force, if any.
+        in_force: Option<u64>,
+        /// Whether the host was not suspended itself just before.
+        is_current: bool,
+    },
     /// The host has no room for one more answer.
     Busy,
 }
@@ -78,13 +84,18 @@
             store::Table::Config | store::Table::Hosts => (own, traffic::Position::MAX),
         };
         let delay = match request(&client, source, config, targets).await {
-            Ok(Answer::Changes(delta, _in_force)) => {
-                let is_current = apply(table, &state, source, delta);
-                if is_current {
+            Ok(Answer::Changes {
+                delta, is_current, ..
+            }) => {
+                let is_evidence = apply(table, &state, source, delta) && is_current;
+                if is_evidence {
                     state.record_evidence(table, asked_at);
                 }
-                tokio::time::sleep(BATCH_DELAY).await;
-                continue;
+                if is_evidence || !state.is_catching_up() {
+                    tokio::time::sleep(BATCH_DELAY).await;
+                    continue;
+                }
+                BUSY_DELAY
             }
             Ok(Answer::Busy) => {
                 state.metrics.record_busy_pull();
@@ -150,18 +161,20 @@
     let reply = client.call(request).await?;
     let in_force = reply.headers.get(peers::IN_FORCE);
     let in_force = in_force.and_then(|value| value.to_str().ok()?.parse().ok());
-    match reply.status {
+    let delta = match reply.status {
         200 if reply.headers.contains_key(hyper::header::CONTENT_ENCODING) => {
-            Ok(Answer::Changes(peers::decompress(&reply.body)?, in_force))
+            peers::decompress(&reply.body)?
         }
         // Hosts of the previous version do not compress.
-        200 => Ok(Answer::Changes(
-            bincode::deserialize(&reply.body)?,
-            in_force,
-        )),
-        503 => Ok(Answer::Busy),
-        status => Err(format!("the host answered with status {status}").into()),
-    }
+        200 => bincode::deserialize(&reply.body)?,
+        503 => return Ok(Answer::Busy),
+        status => return Err(format!("the host answered with status {status}").into()),
+    };
+    Ok(Answer::Changes {
+        delta,
+        in_force,
+        is_current: !reply.headers.contains_key(peers::CATCHING_UP),
+    })
 }
 
 /// Applies another host's changes; returns whether that host is at least as far as this one.
--- a/crates/host/src/reconcile.rs
+++ b/crates/host/src/reconcile.rs
@@ -117,7 +117,10 @@
     let answers = futures::future::join_all(questions).await;
     let mut outcome = Outcome::Unanswered;
     for (answer, source) in answers.into_iter().zip(batch) {
-        let Ok(pull::Answer::Changes(_delta, version)) = answer else {
+        let Ok(pull::Answer::Changes {
+            in_force: version, ..
+        }) = answer
+        else {
             continue;
         };
         if version <= state.cluster().config_version() || take(client, state, *source).await {
@@ -135,7 +138,11 @@
 async fn take(client: &http::Client, state: &state::State, source: net::SocketAddr) -> bool {
     let (all, none) = (traffic::Position::ZERO, traffic::Position::MAX);
     match pull::request(client, source, all, none).await {
-        Ok(pull::Answer::Changes(delta, version)) => {
+        Ok(pull::Answer::Changes {
+            delta,
+            in_force: version,
+            ..
+        }) => {
             let now = state.clock.now();
             let is_taken = state.cluster().offer_config(&delta.config, now);
             log::info!(source:% = source, version:? = version, taken = is_taken; "configuration in force at another host read");
--- a/crates/host/tests/suspension.rs
+++ b/crates/host/tests/suspension.rs
@@ -240,3 +240,45 @@
         host.log()
     );
 }
+
+/// Neither knows more than the other, and the store is slow to tell.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_that_were_paused_together_take_nothing_old_from_each_other() {
+    let store = store::Store::start().await;
+    store.put("op", "config", &host::configuration("0000000a", "/look/"));
+    target::Target::start("i-1").await.register(&store, "ready");
+    let host = host::Host::start(&store).await;
+    let other = host::Host::start_at(host::Place::new(&store, "front-a1-2"));
+    common::eventually("the hosts know each other", || async {
+        [&host, &other]
+            .iter()
+            .all(|host| host.log().contains("host changed"))
+            && other.is_ready().await
+    })
+    .await;
+    assert_eq!(host.request("GET", "/look/x", "before").await.status, 200);
+    tokio::time::sleep(POLL_TIME).await;
+
+    store.hold(Some("op"));
+    host.signal("-STOP");
+    other.signal("-STOP");
+    let rules = host::configuration("0000000b", "/look/");
+    store.put("op", "config", &rules.replace("key-1", "key-2"));
+    tokio::time::sleep(PAUSES[0]).await;
+    other.signal("-CONT");
+    host.signal("-CONT");
+    let woken = time::Instant::now();
+    loop {
+        let reply = host.request("GET", "/look/x", "woken").await;
+        if woken.elapsed() >= CATCH_UP_TIME {
+            break;
+        }
+        assert_eq!(reply.status, 503, "withdrawn key\n{}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    store.hold(None);
+    common::eventually("the key is withdrawn", || async {
+        host.request("GET", "/look/x", "after").await.status == 401
+    })
+    .await;
+}
