Begin the split of a route at another request on each host

Cause: each host begins its weighted round robin at the same place, and so does every host that restarts. The error is up to one request a host: 8 hosts hide it, 295 do not. Class of fault: a decision that is right on one host and the same on all, summed over the fleet.

Change: a host skips a part of the cycle that depends on its name and the route's. Within a host any short window keeps the weights as before.

Ruled out as a cause here: configurations that arrive late.

--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -348,7 +348,12 @@
         }
         let round_robin = match self.round_robins.get_mut(&route.name) {
             Some(round_robin) => round_robin,
-            None => self.round_robins.entry(route.name.clone()).or_default(),
+            None => {
+                let host = self.identity.host.as_str();
+                let phase = hash::HashKey::new("split", host.as_bytes()).fraction(&route.name);
+                let round_robin = self.round_robins.entry(route.name.clone());
+                round_robin.or_insert(round_robin::RoundRobin::new(phase))
+            }
         };
         let position = round_robin.next(&route.split)?;
         Some(route.split[position].service.clone())
--- a/crates/core/tests/traffic/main.rs
+++ b/crates/core/tests/traffic/main.rs
@@ -9,4 +9,5 @@
 mod relays;
 mod shared_quotas;
 mod source_choice;
+mod splits;
 mod suspension;
--- a/crates/core/tests/traffic/placement.rs
+++ b/crates/core/tests/traffic/placement.rs
@@ -284,7 +284,7 @@
         service: name::Service::new(service).expect("service"),
         weight,
     });
-    let mut round_robin = traffic::RoundRobin::default();
+    let mut round_robin = traffic::RoundRobin::new(0.0);
     let drawn: Vec<usize> = (0..200)
         .filter_map(|_n| round_robin.next(&services))
         .collect();
