Ask further hosts while one does not answer for table changes

Callers saw: where several neighbours of a host fall silent at once (a cut, a loss of power), the host takes a change of the configuration seconds late (CONFIG), as it waits a second for each of them before it asks the next one.

Cause: one question at a time, each with a limit of 1 s; a host is asked as long as it counts as live, up to 3 s after it was last heard. Three silent neighbours use up any deployment's bound.

Evidence: a_change_is_in_force_in_time_beside_neighbours_that_do_not_answer, with four neighbours that announce the change and do not answer: 4.4 s in place of at most 2.5 s on the code before, with four lines "no complete response within 1s" in the log; with six 6.6 s.

Change: after 200 ms without an answer a further host is asked beside the silent one, three at most; the first answer counts, and those asked before it are asked last for a while.

--- a/crates/host/src/pull.rs
+++ b/crates/host/src/pull.rs
@@ -5,6 +5,8 @@
 use std::time;
 
 use bytes::Bytes;
+use futures::StreamExt as _;
+use futures::stream;
 use skylark_core::traffic;
 use skylark_platform::store;
 use skylark_wire::http;
@@ -16,6 +18,10 @@
 
 /// Time limit of a request to another host.
 const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time without an answer after which a further host is asked beside the silent one.
+const FURTHER_DELAY: time::Duration = time::Duration::from_millis(200);
+/// Hosts that are asked for one table at once at most.
+const MAX_ASKED: usize = 3;
 /// Delay after a response, so that several changes come with the next one.
 const BATCH_DELAY: time::Duration = time::Duration::from_millis(60);
 /// Delay after a failed request.
@@ -72,21 +78,14 @@
     let mut choice = traffic::SourceChoice::new(traffic::digest(state.identity.host.as_str()));
     loop {
         signal.notified().await;
-        let sources = sources(table, &state);
         let asked_at = state.clock.now();
-        let Some(source) = choice.choose(&sources, asked_at) else {
-            continue;
-        };
-        let own = state.cluster().replica(table).version();
-        // No change of the other table is newer than the largest position.
-        let (config, targets) = match table {
-            store::Table::Targets => (traffic::Position::MAX, own),
-            store::Table::Config | store::Table::Hosts => (own, traffic::Position::MAX),
-        };
-        let delay = match request(&client, source, config, targets).await {
-            Ok(Answer::Changes {
-                delta, is_current, ..
-            }) => {
+        let delay = match ask(&client, &mut choice, table, &state).await {
+            Some((
+                source,
+                Answer::Changes {
+                    delta, is_current, ..
+                },
+            )) => {
                 let is_evidence = apply(table, &state, source, delta) && is_current;
                 if is_evidence {
                     state.record_evidence(table, asked_at);
@@ -97,23 +96,73 @@
                 }
                 BUSY_DELAY
             }
-            Ok(Answer::Busy) => {
+            Some((_source, Answer::Busy)) => {
                 state.metrics.record_busy_pull();
                 BUSY_DELAY
             }
-            Err(error) => {
+            None => match sources(table, &state) {
+                sources if sources.is_empty() => continue,
+                sources if choice.has_untried(&sources) => BUSY_DELAY,
+                _ => RETRY_DELAY,
+            },
+        };
+        tokio::time::sleep(delay).await;
+        signal.notify_one();
+    }
+}
+
+/// Asks a host for changes, and further ones while it is silent; returns the first answer with its
+/// host, or `None` if the hosts that were asked failed.
+async fn ask(
+    client: &http::Client,
+    choice: &mut traffic::SourceChoice,
+    table: store::Table,
+    state: &state::State,
+) -> Option<(net::SocketAddr, Answer)> {
+    let own = state.cluster().replica(table).version();
+    // No change of the other table is newer than the largest position.
+    let (config, targets) = match table {
+        store::Table::Targets => (traffic::Position::MAX, own),
+        store::Table::Config | store::Table::Hosts => (own, traffic::Position::MAX),
+    };
+    let mut asked: Vec<net::SocketAddr> = Vec::new();
+    let mut pending = stream::FuturesUnordered::new();
+    loop {
+        // Further hosts may have the changes by now.
+        let mut others = sources(table, state);
+        others.retain(|other| !asked.contains(other));
+        let is_further = asked.is_empty() || choice.has_untried(&others);
+        let has_room = pending.len() < MAX_ASKED && is_further;
+        let next = has_room.then(|| choice.choose(&others, state.clock.now()));
+        if let Some(source) = next.flatten() {
+            asked.push(source);
+            pending.push(async move {
+                let answer = request(client, source, config, targets).await;
+                (source, answer)
+            });
+        }
+        match tokio::time::timeout(FURTHER_DELAY, pending.next()).await {
+            Ok(Some((_source, Ok(Answer::Busy)))) if !pending.is_empty() => {
+                state.metrics.record_busy_pull();
+            }
+            Ok(Some((source, Ok(answer)))) => {
+                // Those asked before it would hold up the next change as well.
+                for silent in asked.into_iter().take_while(|silent| *silent != source) {
+                    choice.record_failure(silent, state.clock.now());
+                }
+                return Some((source, answer));
+            }
+            Ok(Some((source, Err(error)))) => {
                 state.metrics.record_failed_pull();
                 log::info!(source:% = source, table = table.as_str(), error:% = error; "request for table changes failed; retrying");
                 choice.record_failure(source, state.clock.now());
-                if choice.has_untried(&sources) {
-                    BUSY_DELAY
-                } else {
-                    RETRY_DELAY
+                if pending.is_empty() {
+                    return None;
                 }
             }
-        };
-        tokio::time::sleep(delay).await;
-        signal.notify_one();
+            Ok(None) => return None,
+            Err(_elapsed) => {}
+        }
     }
 }
 
