Take no evidence from a host that serves on without any

Callers would see: of two hosts that were paused together, the one that wakes second honours a withdrawn key as soon as the first one has waited its second out, though neither has heard anything.

Cause: a host says in its answers that it is catching up only while it refuses requests, a second at most. After that its answers counted as evidence, although it had none itself.

With half a second between the two signals (a_host_that_serves_on_without_evidence_is_none_for_another) it fails each time on the code before, 1 of 1, and passes now; the file 6 of 6.

Change: a host says so until it has evidence itself. It still serves after a second, as before.

--- a/crates/core/src/traffic/suspension.rs
+++ b/crates/core/src/traffic/suspension.rs
@@ -57,10 +57,17 @@
         self.woken_at.is_some_and(|woken_at| woken_at > at)
     }
 
+    /// Returns whether nothing has shown yet that what the process knows is from after its last
+    /// suspension, also once it serves requests again without evidence.
+    #[must_use]
+    pub const fn lacks_evidence(&self) -> bool {
+        self.woken_at.is_some() && !self.has_evidence
+    }
+
     /// Returns whether what the process knows may be from before a suspension.
     #[must_use]
     pub fn is_catching_up(&self, now: instant::Instant) -> bool {
-        !self.has_evidence
+        self.lacks_evidence()
             && self
                 .woken_at
                 .is_some_and(|woken_at| now.since(woken_at) < MAX_CATCH_UP)
--- a/crates/core/tests/traffic/suspension.rs
+++ b/crates/core/tests/traffic/suspension.rs
@@ -46,6 +46,9 @@
     suspension.observe(common::at(6_000), seconds(106));
     assert!(suspension.is_catching_up(common::at(6_999)));
     assert!(!suspension.is_catching_up(common::at(7_000)));
+    assert!(suspension.lacks_evidence());
+    suspension.record_evidence(common::at(7_100));
+    assert!(!suspension.lacks_evidence());
 }
 
 /// A request's time limit may lapse in a suspension.
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -145,7 +145,7 @@
     if let Some(version) = in_force {
         response.headers_mut().insert(IN_FORCE, version.into());
     }
-    if state.is_catching_up() {
+    if state.lacks_evidence() {
         response.headers_mut().insert(CATCHING_UP, 1.into());
     }
     if is_compressed {
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -165,6 +165,14 @@
         suspensions.iter().any(|s| s.is_catching_up(now))
     }
 
+    /// Returns whether nothing has shown since the last suspension that the tables are up to date.
+    pub(crate) fn lacks_evidence(&self) -> bool {
+        // A suspension that has just ended is noticed here.
+        self.is_catching_up();
+        let suspensions = lock(&self.suspensions);
+        suspensions.iter().any(traffic::Suspension::lacks_evidence)
+    }
+
     /// Returns whether the process was suspended after an instant.
     pub(crate) fn was_suspended_since(&self, at: instant::Instant) -> bool {
         // A suspension that has just ended is noticed here.
--- a/crates/host/tests/suspension.rs
+++ b/crates/host/tests/suspension.rs
@@ -244,6 +244,17 @@
 /// Neither knows more than the other, and the store is slow to tell.
 #[tokio::test(flavor = "multi_thread")]
 async fn hosts_that_were_paused_together_take_nothing_old_from_each_other() {
+    pause_together(time::Duration::ZERO).await;
+}
+
+/// The first one to wake serves on without evidence by the time the second one asks it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_serves_on_without_evidence_is_none_for_another() {
+    pause_together(MAX_CATCH_UP / 4).await;
+}
+
+/// Pauses two hosts while a key is withdrawn, and wakes the second one after a delay.
+async fn pause_together(delay: time::Duration) {
     let store = store::Store::start().await;
     store.put("op", "config", &host::configuration("0000000a", "/look/"));
     target::Target::start("i-1").await.register(&store, "ready");
@@ -266,6 +277,7 @@
     store.put("op", "config", &rules.replace("key-1", "key-2"));
     tokio::time::sleep(PAUSES[0]).await;
     other.signal("-CONT");
+    tokio::time::sleep(delay).await;
     host.signal("-CONT");
     let woken = time::Instant::now();
     loop {
