Refuse what could outlast a short grace period, and what comes as the process ends

Report of another operator: in a planned stop in calm, requests that came late in the grace period were passed on and cut off at its end without an answer.

Here: yes, where the grace period is short. The deployments on file have 6 and 10 s, where 2.9 s still holds.

Change: the refusals begin at half of the grace period if that is earlier.

Since a process of a tenth of a core may take longer, the host now refuses everything for a poll interval before it ends.

--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -83,10 +83,15 @@
     loop {
         let passed = state.clock.now().since(began);
         let busy = state.busy.load(atomic::Ordering::Relaxed);
-        if passed >= max_time || (passed >= min_time && busy == 0) {
+        let is_idle = busy == 0 && state.is_closed();
+        if passed >= max_time || is_idle {
             log::info!(busy, passed:% = field::Millis(passed); "drain ended");
             return;
         }
+        if passed >= min_time && busy == 0 {
+            // What arrives between this check and the end is refused, not passed on and cut off.
+            state.close();
+        }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -29,7 +29,8 @@
 const OTHER_HOST_DELAY: time::Duration = time::Duration::from_millis(100);
 /// Retry delay when memory for bodies runs out; slow callers free theirs at their deadline.
 const MEMORY_DELAY: time::Duration = time::Duration::from_secs(1);
-/// Time after the stop signal from which only requests with an early deadline are admitted.
+/// Time after the stop signal from which only requests with an early deadline are admitted, half of
+/// the grace period at most.
 const LATE_STOP_TIME: time::Duration = time::Duration::from_millis(2_900);
 /// Time before the forced kill at which requests must have ended.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(900);
@@ -310,8 +311,10 @@
 ) -> Result<(), Rejection> {
     let now = state.clock.now();
     if let Some(stopping) = state.stopping_since() {
-        let end = stopping + state.settings().grace_period.saturating_sub(STOP_MARGIN);
-        if now >= stopping + LATE_STOP_TIME && request.deadline > end {
+        let grace = state.settings().grace_period;
+        let end = stopping + grace.saturating_sub(STOP_MARGIN);
+        let is_late = now >= stopping + LATE_STOP_TIME.min(grace / 2);
+        if state.is_closed() || is_late && request.deadline > end {
             return Err(Rejection::new(kind::ErrorKind::Leaving, "host is stopping")
                 .with_delay(OTHER_HOST_DELAY));
         }
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -57,6 +57,8 @@
     settings: sync::Mutex<settings::Settings>,
     cluster: sync::Mutex<cluster::ClusterState>,
     stopping_since: sync::Mutex<Option<instant::Instant>>,
+    /// Whether the process ends as soon as nothing is active any more.
+    is_closed: atomic::AtomicBool,
     /// What is known of a suspension, for each table that the host replicates.
     suspensions: sync::Mutex<[traffic::Suspension; feed::WATCHED.len()]>,
     cached_answer: sync::Mutex<Option<peers::CachedAnswer>>,
@@ -103,6 +105,7 @@
             settings: sync::Mutex::new(settings),
             cluster: sync::Mutex::new(cluster),
             stopping_since: sync::Mutex::new(None),
+            is_closed: atomic::AtomicBool::new(false),
             suspensions: sync::Mutex::default(),
             cached_answer: sync::Mutex::new(None),
             store_epoch: tokio::sync::watch::Sender::new(0),
@@ -145,6 +148,16 @@
         self.changed.notify_one();
     }
 
+    /// Refuses all further requests, as the process is about to end.
+    pub(crate) fn close(&self) {
+        self.is_closed.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns whether the process is about to end.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns when the process was asked to stop.
     pub(crate) fn stopping_since(&self) -> Option<instant::Instant> {
         *lock(&self.stopping_since)
--- a/crates/host/tests/common/raw.rs
+++ b/crates/host/tests/common/raw.rs
@@ -26,11 +26,15 @@
 
 impl Caller {
     pub(crate) async fn connect(address: net::SocketAddr) -> Self {
-        let stream = tokio::net::TcpStream::connect(address).await;
-        Self {
-            stream: stream.expect("connect"),
+        Self::try_connect(address).await.expect("connect")
+    }
+
+    /// Connects to a host that may have ended.
+    pub(crate) async fn try_connect(address: net::SocketAddr) -> std::io::Result<Self> {
+        Ok(Self {
+            stream: tokio::net::TcpStream::connect(address).await?,
             received: Vec::new(),
-        }
+        })
     }
 
     /// Sends bytes; the host may have closed the connection.
--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -18,6 +18,8 @@
 pub(crate) const HUGE_BYTES: usize = 24 * 1_024 * 1_024;
 /// Time that a slow target takes for a request.
 pub(crate) const SLOW_TIME: time::Duration = time::Duration::from_millis(600);
+/// Time that a target takes for a request which is shorter than a caller's pause.
+pub(crate) const SHORT_TIME: time::Duration = time::Duration::from_millis(8);
 /// Delay of a target that reads late.
 const READ_DELAY: time::Duration = time::Duration::from_secs(2);
 
@@ -53,6 +55,8 @@
     ReadLate,
     /// Answers after a while.
     AnswerSlowly,
+    /// Answers after a short while.
+    AnswerSoon,
     /// Answers after the head, and reads the body later.
     AnswerEarly,
 }
@@ -218,11 +222,18 @@
                 return;
             };
             self.record_request(&head, body, behavior);
-            if matches!(behavior, Behavior::AnswerSlowly | Behavior::DisconnectLate) {
-                tokio::time::sleep(SLOW_TIME).await;
+            match behavior {
+                Behavior::AnswerSlowly | Behavior::DisconnectLate => {
+                    tokio::time::sleep(SLOW_TIME).await;
+                }
+                Behavior::AnswerSoon => tokio::time::sleep(SHORT_TIME).await,
+                _ => {}
             }
             let answer = match behavior {
-                Behavior::Answer | Behavior::AnswerSlowly | Behavior::ReadLate => whole,
+                Behavior::Answer
+                | Behavior::AnswerSlowly
+                | Behavior::AnswerSoon
+                | Behavior::ReadLate => whole,
                 Behavior::RefuseOnce => unreachable!("decided for each request"),
                 Behavior::RefuseToRun => format!(
                     "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
