Take no earlier refusal for the answer to a request without an id

Here: yes, for requests without an id. Any answer without an id counted as theirs, also on a connection that was in use before. an_earlier_refusal_written_again_says_nothing_about_a_later_request (refusals 503, 429 and 421, repeated with and without their id) had 2 runs of an order and 503 for the caller on the code before, and passes now. With an id it passed before as well.

Change: without an id in the request, each attempt opens a connection; without an id in the answer, the connection must be new.

--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -133,10 +133,12 @@
             return Outcome::withheld();
         }
         let now = state.clock.now();
-        let pooled = state
-            .connections
-            .take(&pick.target, request.is_idempotent, now);
-        let connection = match pooled {
+        // Without an id, a late answer to an earlier request could not be told from the own one.
+        let pooled = (!request.id.is_empty()).then(|| {
+            let connections = &state.connections;
+            connections.take(&pick.target, request.is_idempotent, now)
+        });
+        let connection = match pooled.flatten() {
             Some(connection) => connection,
             None => match connect(state, pick, request).await {
                 // The host may have been suspended while the connection was opened.
@@ -259,7 +261,7 @@
     // A late answer to an earlier request may arrive on a connection that was used before.
     let is_own = match parts.headers.get(header::REQUEST_ID) {
         Some(id) => id == request.id.as_str(),
-        None => request.id.is_empty() || !connection.is_used(),
+        None => !connection.is_used(),
     };
     if !is_own {
         return Outcome::without(
