Take no earlier refusal for a later answer on the entry host

Change: without an id, only the answer to the first request of a connection counts. The stand-in's refusals did not echo the id, so a_target_that_sheds_load_but_reports_idle_fails_no_request got 502 with this change alone; they echo it now as its other answers do. Targets that do not echo it in refusals have these taken for "may have run".

An answer that breaks off in its head: an_entry_host_makes_no_success_of_a_part_of_a_head passed on the code before.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -18,6 +18,8 @@
 #[derive(Debug)]
 pub struct Connection {
     inner: http1::SendRequest<Body>,
+    /// Whether a request was sent on the connection before the current one.
+    is_used: bool,
     _task: Task,
 }
 
@@ -32,6 +34,12 @@
 }
 
 impl Connection {
+    /// Returns whether an answer to an earlier request may still arrive.
+    #[must_use]
+    pub const fn is_used(&self) -> bool {
+        self.is_used
+    }
+
     /// Sends one request and waits for the head of its response.
     ///
     /// # Errors
@@ -78,13 +86,18 @@
             let _closed = driver.await;
         });
         let task = Task(handle.abort_handle());
-        Ok(Connection { inner, _task: task })
+        Ok(Connection {
+            inner,
+            is_used: false,
+            _task: task,
+        })
     }
 
     /// Keeps a connection for reuse after its response was read completely.
     ///
     /// It is closed instead when the target has enough idle connections.
-    pub fn release(&self, address: record::Address, connection: Connection) {
+    pub fn release(&self, address: record::Address, mut connection: Connection) {
+        connection.is_used = true;
         let mut idle = self.lock();
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE_PER_TARGET {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -166,7 +166,8 @@
         .await
         .map_err(|_error| Failure::Disconnected)?
         .to_bytes();
-    if is_for_other_request(&head.headers, &request.id) || !has_framed_body(&head) {
+    let is_own = is_for_request(&head.headers, &request.id, connection.is_used());
+    if !is_own || !has_framed_body(&head) {
         return Err(Failure::InvalidResponse);
     }
     pool.release(target.address, connection);
@@ -209,11 +210,14 @@
     is_bodiless || has_length || head.headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-/// Returns whether a response carries the id of another request.
-fn is_for_other_request(headers: &hyper::HeaderMap, id: &str) -> bool {
-    headers
-        .get(names::REQUEST_ID)
-        .is_some_and(|value| value.as_bytes() != id.as_bytes())
+/// Returns whether a response belongs to the request with an id.
+///
+/// Without an id, a late answer to an earlier request on the connection cannot be ruled out.
+fn is_for_request(headers: &hyper::HeaderMap, id: &str, is_used: bool) -> bool {
+    match headers.get(names::REQUEST_ID) {
+        Some(value) => value.as_bytes() == id.as_bytes(),
+        None => !is_used,
+    }
 }
 
 fn build_request(
--- a/crates/standin/src/target/serve.rs
+++ b/crates/standin/src/target/serve.rs
@@ -86,7 +86,9 @@
     }
     let faults = state.faults();
     if faults.mode == fault::Mode::Shedding {
-        return Ok(overload_response(&state, &faults));
+        let mut response = overload_response(&state, &faults);
+        set_request_id(&mut response, &head);
+        return Ok(response);
     }
     state.load.fetch_add(1, atomic::Ordering::Relaxed);
     let load_guard = LoadGuard(&state);
@@ -181,10 +183,8 @@
     };
     let mut response = hyper::Response::new(body);
     set_load_headers(&mut response, state, faults);
+    set_request_id(&mut response, head);
     let headers = response.headers_mut();
-    if let Ok(value) = header::HeaderValue::from_str(request_id) {
-        headers.insert(wire_header::REQUEST_ID, value);
-    }
     headers.insert(header::CONTENT_LENGTH, header::HeaderValue::from(length));
     headers.insert(
         header::CONTENT_TYPE,
@@ -193,6 +193,16 @@
     response
 }
 
+/// Echoes the id of the request, by which a host tells its answer from a late one.
+fn set_request_id(response: &mut hyper::Response<Body>, head: &hyper::http::request::Parts) {
+    let request_id = header_text(head, wire_header::REQUEST_ID);
+    if let Ok(value) = header::HeaderValue::from_str(request_id) {
+        response
+            .headers_mut()
+            .insert(wire_header::REQUEST_ID, value);
+    }
+}
+
 fn full_body(text: Bytes) -> Body {
     http_body_util::Full::new(text)
         .map_err(|never| match never {})
