--- a/crates/host/tests/planned_stop.rs
+++ b/crates/host/tests/planned_stop.rs
@@ -20,6 +20,9 @@
 /// Shortest grace period of the tests, below the time in which callers hear of a stop.
 const SHORT_GRACE: time::Duration = time::Duration::from_secs(3);
 
+/// Time after the first answer at which a request comes that the grace period is too short for.
+const LATE_TIME: time::Duration = time::Duration::from_millis(1_650);
+
 async fn deployment() -> (store::Store, target::Target) {
     let store = store::Store::start().await;
     store.put("op", "config", &host::configuration("0000000a", "/look/"));
@@ -75,7 +78,9 @@
         }
     }
     tokio::time::sleep(time::Duration::from_millis(300)).await;
-    hosts.iter().for_each(|host| host.signal("-TERM"));
+    for host in &hosts {
+        host.signal("-TERM");
+    }
     let mut unanswered = Vec::new();
     for task in tasks {
         unanswered.extend(task.await.expect("task"));
@@ -101,7 +106,7 @@
     let headers = "Deadline-Ms: 4000\r\nContent-Length: 0\r\n";
     let early = order(host.callers, "early", headers).await;
     assert_eq!(early.expect("accepted"), Some(200));
-    tokio::time::sleep(SHORT_GRACE * 3 / 4 - target::SLOW_TIME).await;
+    tokio::time::sleep(LATE_TIME).await;
     let late = order(host.callers, "late", headers).await;
     assert_eq!(late.expect("accepted"), Some(503), "{}", host.log());
     assert_eq!(target.heads().len(), 1);
--- a/tests/faulty_targets.rs
+++ b/tests/faulty_targets.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::fmt::Write as _;
 use std::net;
 use std::sync;
 
@@ -99,12 +100,13 @@
                     objective: {good: 99.9%, within: 500ms}\n"
         .to_owned();
     for (n, target) in targets.iter().enumerate() {
-        text += &format!(
-            "---\nschema: 1\ntarget: {{name: rare-{n}, service: rare, zone: {}, address: '{}', \
-             slots: 8, connections: 100}}\n",
-            common::ZONES[0],
-            target.address
-        );
+        let (zone, address) = (common::ZONES[0], target.address);
+        write!(
+            text,
+            "---\nschema: 1\ntarget: {{name: rare-{n}, service: rare, zone: {zone}, address: \
+             '{address}', slots: 8, connections: 100}}\n"
+        )
+        .expect("writing to a string succeeds");
     }
     text
 }
