--- a/crates/core/src/traffic/target_limits.rs
+++ b/crates/core/src/traffic/target_limits.rs
@@ -109,6 +109,14 @@
 
     /// Replaces the set of targets; the limit of a target that has restarted is dropped.
     pub fn set_targets(&mut self, targets: &[target::Target]) {
+        let is_known = |target: &target::Target| {
+            let known = self.targets.get(&target.id);
+            known.is_some_and(|entry| entry.started_millis == target.started_millis)
+        };
+        // Most changes of the table concern neither the set nor the starts of targets.
+        if self.targets.len() == targets.len() && targets.iter().all(is_known) {
+            return;
+        }
         let mut previous = std::mem::take(&mut self.targets);
         self.digests.clear();
         for target in targets {
