Do not reuse connections to targets that name no request id

Change: after an answer without an id the connection is closed, on both data paths, so the next answer without one comes on a connection of its own.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -170,7 +170,10 @@
     if !is_own || !has_framed_body(&head) {
         return Err(Failure::InvalidResponse);
     }
-    pool.release(target.address, connection);
+    // What follows on a connection whose answers name no id could not be told apart.
+    if head.headers.contains_key(names::REQUEST_ID) {
+        pool.release(target.address, connection);
+    }
     if head.headers.contains_key(names::NOT_STARTED) {
         return Err(Failure::Shed(load_report(&head.headers)));
     }
--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -274,10 +274,12 @@
     }
     let load = header::load(&parts.headers);
     let timeout = keep_alive_timeout(&parts.headers);
-    let is_closing = parts
-        .headers
-        .get(hyper::header::CONNECTION)
-        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+    // What follows on a connection whose answers name no id could not be told apart.
+    let is_closing = lacks_request_id(&parts.headers)
+        || parts
+            .headers
+            .get(hyper::header::CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
     let status = parts.status.as_u16();
     let has_not_run = parts.headers.contains_key(header::NOT_EXECUTED);
     let remaining = request.deadline.since(state.clock.now());
