Keep targets cold that are listed again after their zone was reopened

Cause: a reopened zone's targets are marked cold in the pool. One whose entry lapsed during the cut is removed and added again by the next change, without that mark, and its first entry says that it is warm.

Evidence: a_target_that_is_listed_again_after_its_zone_was_reopened_is_cold, 200 requests in a second in place of 27 before.

Ruled out: hosts on both sides of a cut that divide the rate each for themselves.

--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -90,6 +90,8 @@
     retry_limits: RetryLimits,
     rules: Option<sync::Arc<rules::Rules>>,
     closed: collections::BTreeSet<name::Zone>,
+    /// When zones were reopened last.
+    reopened: collections::BTreeMap<name::Zone, instant::Instant>,
     pools: collections::HashMap<name::Service, pool::Pool>,
     queues: collections::HashMap<name::Service, wait_queue::WaitQueue<T>>,
     quotas: quotas::Quotas,
@@ -113,6 +115,7 @@
             retry_limits: limits,
             rules: None,
             closed: collections::BTreeSet::new(),
+            reopened: collections::BTreeMap::new(),
             pools: collections::HashMap::new(),
             queues: collections::HashMap::new(),
             quotas: quotas::Quotas::default(),
@@ -213,9 +216,16 @@
                         }
                         pool.targets.push(status);
                     }
-                    None => pool
-                        .targets
-                        .push(target_status::TargetStatus::new(target.clone(), now)),
+                    None => {
+                        let mut status = target_status::TargetStatus::new(target.clone(), now);
+                        // It may have been unlisted for a moment since its zone was reopened.
+                        if let Some(reopened_at) = self.reopened.get(&target.zone) {
+                            let warmup = pool.limits.warmup;
+                            let left = warmup.saturating_sub(now.since(*reopened_at));
+                            status.cold_start.extend(left, now);
+                        }
+                        pool.targets.push(status);
+                    }
                 }
             }
             pool.targets.sort_by(|a, b| a.target.id.cmp(&b.target.id));
@@ -227,6 +237,7 @@
     pub fn set_closed(&mut self, zones: &collections::BTreeSet<name::Zone>, now: instant::Instant) {
         let before = std::mem::take(&mut self.closed);
         for zone in before.difference(zones) {
+            self.reopened.insert(zone.clone(), now);
             for pool in self.pools.values_mut() {
                 let warmup = pool.limits.warmup;
                 let reopened = pool.targets.iter_mut().filter(|s| s.target.zone == *zone);
--- a/crates/core/tests/traffic/cold_targets.rs
+++ b/crates/core/tests/traffic/cold_targets.rs
@@ -1,5 +1,6 @@
 //! Rates of cold targets, and the quarantine of requests that crash targets.
 
+use std::collections;
 use std::time;
 
 use skylark_core::traffic;
@@ -53,6 +54,35 @@
     }
 }
 
+/// Load pattern: a zone is reopened, and its target, which was cut off, is listed again after that.
+#[test]
+fn a_target_that_is_listed_again_after_its_zone_was_reopened_is_cold() {
+    const ALLOWED: usize = 27;
+    let target = common::target("t0", "a1", 5);
+    let mut dispatcher = common::dispatcher("h1", "a1", std::slice::from_ref(&target));
+    let closed = [common::zone("a1")].into_iter().collect();
+    dispatcher.set_closed(&closed, common::at(0));
+    dispatcher.set_closed(&collections::BTreeSet::new(), common::at(5_000));
+    dispatcher.set_targets(&[], common::at(5_200));
+    dispatcher.set_targets(std::slice::from_ref(&target), common::at(5_400));
+    let mut sent = 0;
+    for millis in (5_400..6_400).step_by(5) {
+        let now = common::at(millis);
+        let request = common::request("stock", 2, "o", now);
+        if let Some(pick) = common::sent_to(&dispatcher.place(&request, now)).cloned() {
+            let answered = traffic::AttemptResult::Answered(None);
+            dispatcher.record_result(&request, &pick, answered, now);
+            sent += 1;
+        }
+    }
+    assert!((1..=ALLOWED).contains(&sent), "{sent} requests in a second");
+    let warm = dispatcher.place(
+        &common::request("stock", 2, "o", common::at(8_001)),
+        common::at(8_001),
+    );
+    assert!(common::sent_to(&warm).is_some());
+}
+
 /// Load pattern: a request crashes each target that runs it and is retried at any host.
 #[test]
 fn a_request_that_crashes_targets_is_quarantined() {
