--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -205,28 +205,24 @@
             let mut existing: Vec<target_status::TargetStatus> = std::mem::take(&mut pool.targets);
             let of_service = targets.iter().filter(|target| target.service == *service);
             for target in of_service {
-                match existing
-                    .iter()
-                    .position(|status| status.target.id == target.id)
-                {
-                    Some(position) => {
-                        let mut status = existing.swap_remove(position);
-                        if status.target != *target {
-                            status.update(target.clone(), now);
-                        }
-                        pool.targets.push(status);
+                let known = existing.iter().position(|s| s.target.id == target.id);
+                let status = if let Some(position) = known {
+                    let mut status = existing.swap_remove(position);
+                    if status.target != *target {
+                        status.update(target.clone(), now);
                     }
-                    None => {
-                        let mut status = target_status::TargetStatus::new(target.clone(), now);
-                        // It may have been unlisted for a moment since its zone was reopened.
-                        if let Some(reopened_at) = self.reopened.get(&target.zone) {
-                            let warmup = pool.limits.warmup;
-                            let left = warmup.saturating_sub(now.since(*reopened_at));
-                            status.cold_start.extend(left, now);
-                        }
-                        pool.targets.push(status);
+                    status
+                } else {
+                    let mut status = target_status::TargetStatus::new(target.clone(), now);
+                    // It may have been unlisted for a moment since its zone was reopened.
+                    if let Some(reopened_at) = self.reopened.get(&target.zone) {
+                        let warmup = pool.limits.warmup;
+                        let left = warmup.saturating_sub(now.since(*reopened_at));
+                        status.cold_start.extend(left, now);
                     }
-                }
+                    status
+                };
+                pool.targets.push(status);
             }
             pool.targets.sort_by(|a, b| a.target.id.cmp(&b.target.id));
         }
