Heed targets that say that they leave or want nothing for a time

Change: both are kept with the limit that a target names, for its current run, and such targets are left out of the candidates. While all targets of a request pause for longer than it may wait, it is refused at once with the time that is left.

--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -420,6 +420,14 @@
         let order = self.candidates(pool, request, now);
         let found = self.select_target(pool, request, &order, now);
         let Some(candidate) = found.candidate else {
+            if order.is_empty()
+                && let Some(pause) = self.shortest_pause(pool, request, now)
+            {
+                // Waiting for a target that wants nothing is in vain.
+                let mut refusal = self.refusal(request, kind::ErrorKind::Overloaded, now);
+                refusal.pause += pause;
+                return placement::Placement::Refuse(refusal);
+            }
             let has_limited = || {
                 let mut targets = pool.targets.iter().map(|status| &status.target.id);
                 targets.any(|target| !self.limits.has_room(target, now))
@@ -638,6 +646,31 @@
         }
     }
 
+    /// Returns the time until the first of a request's targets takes requests again, if each of them
+    /// has asked this host to pause for longer than a request may wait.
+    fn shortest_pause(
+        &self,
+        pool: &pool::Pool,
+        request: &request::Request,
+        now: instant::Instant,
+    ) -> Option<time::Duration> {
+        let allowed = pool.targets.iter().filter(|status| {
+            let region = self.topology.region(&status.target.zone);
+            let is_allowed = region.is_some_and(|region| request.allows_region(region));
+            is_allowed && self.is_open(status) && !request.tried.contains(&status.target.id)
+        });
+        let pauses = allowed.map(|status| self.limits.pause(&status.target.id, now));
+        let max_wait = request.route.objective / QUEUE_TIME_DIVISOR;
+        pauses.min().filter(|pause| *pause > max_wait)
+    }
+
+    /// Returns whether a target takes new requests, as far as it and the operators say.
+    fn is_open(&self, status: &target_status::TargetStatus) -> bool {
+        status.target.state == target::TargetState::Ready
+            && !self.closed.contains(&status.target.zone)
+            && !self.limits.is_leaving(&status.target.id)
+    }
+
     /// Decides whether a request waits in the queue of its service or is refused.
     fn wait_or_refuse(
         &self,
@@ -675,11 +708,10 @@
         for (n, region) in allowed.enumerate() {
             let order = pool.preference_order(region, &self.topology, request.affinity_key);
             let usable = order.into_iter().filter(|position| {
-                let target = &pool.targets[*position].target;
-                target.state == target::TargetState::Ready
-                    && !self.closed.contains(&target.zone)
-                    && !request.tried.contains(&target.id)
-                    && self.limits.has_room(&target.id, now)
+                let status = &pool.targets[*position];
+                self.is_open(status)
+                    && !request.tried.contains(&status.target.id)
+                    && self.limits.has_room(&status.target.id, now)
             });
             let has_planned = chosen
                 .iter()
@@ -874,6 +906,7 @@
             let is_open = |status: &&target_status::TargetStatus| {
                 status.target.state == target::TargetState::Ready
                     && !self.closed.contains(&status.target.zone)
+                    && !self.limits.is_leaving(&status.target.id)
             };
             for status in pool.targets.iter().filter(is_open) {
                 let region = self.topology.region(&status.target.zone);
--- a/crates/core/src/traffic/target_limits.rs
+++ b/crates/core/src/traffic/target_limits.rs
@@ -29,6 +29,8 @@
 const BORNE_REQUESTS: f64 = 5.0;
 /// Seconds of its rate that a sender may save up at least, beside one request.
 const MIN_SAVED_SECONDS: f64 = 0.1;
+/// Longest pause that one answer of a target brings about; the next one may prolong it.
+const MAX_PAUSE: time::Duration = time::Duration::from_mins(1);
 /// Least rate of a sender in requests per second, by which the end of a limit is found out.
 const PROBE_RATE: f64 = 0.1;
 
@@ -54,6 +56,10 @@
     /// Difference between hosts in when a limit ends that nobody repeats, from 0 to 1.
     spread: f64,
     limit: Option<target_limit::TargetLimit>,
+    /// Whether the target said that it leaves.
+    is_leaving: bool,
+    /// Until when the target wants nothing from this host.
+    paused_until: instant::Instant,
 }
 
 impl Entry {
@@ -65,6 +71,8 @@
             digest: digest(target),
             spread: key.fraction(host.as_str()),
             limit: None,
+            is_leaving: false,
+            paused_until: instant::Instant::ORIGIN,
         }
     }
 
@@ -236,12 +244,49 @@
         self.targets.get(target)?.rate(now)
     }
 
+    /// Records that a target said that it leaves; returns whether that is new.
+    ///
+    /// It holds for this run of the target, whatever the table of targets says.
+    pub fn record_leaving(&mut self, target: &name::Target) -> bool {
+        let entry = self.targets.get_mut(target);
+        entry.is_some_and(|entry| !std::mem::replace(&mut entry.is_leaving, true))
+    }
+
+    /// Records that a target wants nothing from this host for a time, at most [`MAX_PAUSE`].
+    pub fn record_pause(
+        &mut self,
+        target: &name::Target,
+        pause: time::Duration,
+        now: instant::Instant,
+    ) {
+        if let Some(entry) = self.targets.get_mut(target) {
+            entry.paused_until = entry.paused_until.max(now + pause.min(MAX_PAUSE));
+        }
+    }
+
+    /// Returns whether a target said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, target: &name::Target) -> bool {
+        let entry = self.targets.get(target);
+        entry.is_some_and(|entry| entry.is_leaving)
+    }
+
+    /// Returns how long a target still wants nothing from this host.
+    #[must_use]
+    pub fn pause(&self, target: &name::Target, now: instant::Instant) -> time::Duration {
+        let entry = self.targets.get(target);
+        entry.map_or(time::Duration::ZERO, |entry| entry.paused_until.since(now))
+    }
+
     /// Returns whether this host may send a request to a target now.
     #[must_use]
     pub fn has_room(&self, target: &name::Target, now: instant::Instant) -> bool {
         let Some(entry) = self.targets.get(target) else {
             return true;
         };
+        if entry.is_leaving || now < entry.paused_until {
+            return false;
+        }
         let limit = entry.limit.as_ref();
         let limit = limit.filter(|_limit| entry.rate(now).is_some());
         limit.is_none_or(|limit| limit.has_token(now))
--- a/crates/core/tests/traffic/target_limits.rs
+++ b/crates/core/tests/traffic/target_limits.rs
@@ -464,3 +464,63 @@
         assert!(targets[4..].iter().any(|target| target.id == pick.target));
     }
 }
+
+/// Load pattern: a target says that it leaves, and the table of targets still lists it as ready.
+#[test]
+fn a_target_that_says_that_it_leaves_gets_no_further_request() {
+    let mut targets: Vec<traffic::Target> = (0..3)
+        .map(|n| common::target(&format!("t{n}"), "a1", 5))
+        .collect();
+    let mut dispatcher = common::dispatcher("h1", "a1", &targets);
+    let leaving = targets[0].id.clone();
+    assert!(dispatcher.limits_mut().record_leaving(&leaving));
+    assert!(!dispatcher.limits_mut().record_leaving(&leaving), "known");
+    targets[0].sequence += 1;
+    dispatcher.set_targets(&targets, common::at(10));
+    for n in 0..20 {
+        let now = common::at(20 + 100 * n);
+        let request = common::request("stock", 2, &format!("o{n}"), now);
+        let placement = dispatcher.place(&request, now);
+        let pick = common::sent_to(&placement).expect("another target").clone();
+        assert_ne!(pick.target, leaving);
+        let answered = traffic::AttemptResult::Answered(None);
+        dispatcher.record_result(&request, &pick, answered, now);
+    }
+    // Another run of the target does not leave.
+    targets[0].started_millis = Some(2);
+    dispatcher.set_targets(&targets, common::at(3_000));
+    assert!(dispatcher.limits().has_room(&leaving, common::at(3_000)));
+}
+
+/// Load pattern: all targets of a service refuse and want nothing for some time.
+#[test]
+fn requests_are_refused_at_once_while_every_target_wants_nothing() {
+    let pause = time::Duration::from_secs(2);
+    let targets = [common::target("t0", "a1", 5), common::target("t1", "b1", 5)];
+    let mut dispatcher = common::dispatcher("h1", "a1", &targets);
+    for target in &targets {
+        let limits = dispatcher.limits_mut();
+        limits.record_pause(&target.id, pause, common::at(1_000));
+        // A shorter pause does not end a longer one.
+        limits.record_pause(&target.id, pause / 4, common::at(1_100));
+    }
+    let now = common::at(1_500);
+    let placement = dispatcher.place(&common::request("stock", 2, "o", now), now);
+    let traffic::Placement::Refuse(refusal) = placement else {
+        panic!("{placement:?}");
+    };
+    let left = time::Duration::from_millis(1_500);
+    assert!(refusal.pause >= left && refusal.pause < left + common::OBJECTIVE * 2);
+    let later = common::at(3_000);
+    let placement = dispatcher.place(&common::request("stock", 2, "o", later), later);
+    assert!(common::sent_to(&placement).is_some());
+}
+
+#[test]
+fn a_pause_without_end_ends_after_a_minute() {
+    let target = common::target("t1", "a1", 5);
+    let mut own = limits(std::slice::from_ref(&target));
+    own.record_pause(&target.id, time::Duration::MAX, common::at(0));
+    assert!(!own.has_room(&target.id, common::at(59_000)));
+    assert!(own.has_room(&target.id, common::at(60_000)));
+}
--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -7,6 +7,7 @@
 use skylark_core::instant;
 use skylark_core::traffic;
 use skylark_platform::header;
+use skylark_runtime::field;
 
 use super::body;
 use super::connections;
@@ -271,6 +272,7 @@
     }
     if parts.status.as_u16() != STATUS_MISDIRECTED {
         record_limit(state, pick, request, &parts.headers);
+        record_leave(state, pick, request, &parts);
     }
     let load = header::load(&parts.headers);
     let timeout = keep_alive_timeout(&parts.headers);
@@ -375,6 +377,35 @@
     }
 }
 
+/// Records that a target leaves, or wants nothing from this host for a time.
+fn record_leave(
+    state: &state::State,
+    pick: &traffic::Pick,
+    request: &Request,
+    parts: &hyper::http::response::Parts,
+) {
+    let (id, target) = (request.id.as_str(), &pick.target);
+    let now = state.clock.now();
+    let mut cluster = state.cluster();
+    let limits = cluster.dispatcher_mut().limits_mut();
+    if header::is_leaving(&parts.headers) && limits.record_leaving(target) {
+        log::info!(request = id, target_id:% = target; "target says that it leaves; sending it nothing more");
+    }
+    if parts.status != hyper::StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    match header::retry_after(&parts.headers) {
+        Ok(None) => {}
+        Ok(Some(pause)) => {
+            limits.record_pause(target, pause, now);
+            log::info!(request = id, target_id:% = target, pause:% = field::Millis(pause); "target wants nothing for a time");
+        }
+        Err(error) => {
+            log::debug!(request = id, target_id:% = target, error:% = error; "pause of a target not understood; ignoring it");
+        }
+    }
+}
+
 fn lacks_request_id(headers: &hyper::HeaderMap) -> bool {
     !headers.contains_key(header::REQUEST_ID)
 }
@@ -437,6 +468,7 @@
         hyper::header::HeaderName::from_static("keep-alive"),
         header::LOAD,
         header::RATE_LIMIT,
+        header::LEAVING,
         header::TARGET_ID,
     ];
     for name in removed {
--- a/crates/host/tests/common/target.rs
+++ b/crates/host/tests/common/target.rs
@@ -237,7 +237,7 @@
                 Behavior::RefuseOnce => unreachable!("decided for each request"),
                 Behavior::RefuseToRun => format!(
                     "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
-                     Content-Length: 0\r\n\r\n"
+                     {extra}Content-Length: 0\r\n\r\n"
                 ),
                 Behavior::Disconnect | Behavior::DisconnectLate => return,
                 Behavior::AnswerEarly => continue,
--- a/crates/host/tests/limits.rs
+++ b/crates/host/tests/limits.rs
@@ -3,6 +3,7 @@
 #[expect(dead_code, reason = "shared with the other tests of the process")]
 mod common;
 
+use std::sync::atomic;
 use std::time;
 
 use common::host;
@@ -19,6 +20,9 @@
 const PAUSE: time::Duration = time::Duration::from_millis(20);
 const LIMIT: &str = "Server-Limit: 5.0\r\n";
 
+/// Numbers of the objects that requests concern.
+static OBJECTS: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+
 async fn deployment() -> (store::Store, [target::Target; 2], [host::Host; 2]) {
     let store = store::Store::start().await;
     store.put("op", "config", &host::configuration("0000000a", "/look/"));
@@ -45,10 +49,9 @@
 async fn send_for(hosts: &[host::Host], duration: time::Duration) -> Vec<common::Reply> {
     let began = time::Instant::now();
     let mut answers = Vec::new();
-    for n in 0.. {
-        if began.elapsed() >= duration {
-            break;
-        }
+    while began.elapsed() < duration {
+        // Targets that are warm for an object keep it.
+        let n = OBJECTS.fetch_add(1, atomic::Ordering::Relaxed);
         for host in hosts {
             let mut request = common::request("GET", "/look/x", &format!("r-{n}"), Vec::new());
             let cookie = format!("Affinity-Key={n}").parse().expect("cookie");
@@ -123,3 +126,55 @@
     let lines = hosts[0].log().matches("not understood").count();
     assert!(lines <= 1 + answers.len() / 50, "{lines} lines");
 }
+
+/// Guards against requests to a target that has said in an answer that it leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_says_that_it_leaves_gets_nothing_although_it_is_listed() {
+    let (store, [leaving, other], hosts) = deployment().await;
+    leaving.set_headers("Server-Leaving: 1\r\n");
+    let answers = send_for(&hosts, time::Duration::from_secs(1)).await;
+    assert!(
+        answers
+            .iter()
+            .all(|answer| answer.header("server-leaving").is_none())
+    );
+    for host in &hosts {
+        host.wait_for_log(&["target says that it leaves"]).await;
+    }
+    let before = leaving.heads().len();
+    // Neither a row of the table nor the loss of the store brings it back.
+    leaving.register(&store, "ready");
+    hosts[0]
+        .wait_for_log(&["target changed", "i-1", "row=6"])
+        .await;
+    store.set_mode(store::Mode::Unresponsive);
+    let answers = send_for(&hosts, time::Duration::from_secs(2)).await;
+    assert_eq!(leaving.heads().len(), before);
+    assert!(answers.iter().all(|answer| answer.status == 200));
+    drop(other);
+}
+
+/// Guards against requests to a target that has refused and named a time for which it wants none.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_names_a_pause_gets_nothing_until_its_end() {
+    const PAUSE_SECONDS: u64 = 2;
+    const MAX_REQUESTS: usize = 2;
+    let (_store, [pausing, _other], hosts) = deployment().await;
+    pausing.set_headers("Retry-After: 2\r\n");
+    pausing.set_behavior(target::Behavior::RefuseToRun);
+    let answers = send_for(&hosts[..1], time::Duration::from_secs(PAUSE_SECONDS) / 2).await;
+    assert!(answers.iter().all(|answer| answer.status == 200));
+    let first = pausing.heads().len();
+    assert!((1..=MAX_REQUESTS).contains(&first), "{first} requests");
+    pausing.set_headers("");
+    pausing.set_behavior(target::Behavior::Answer);
+    let began = time::Instant::now();
+    common::eventually("the target is used again", || async {
+        send_for(&hosts[..1], PAUSE * 10).await;
+        pausing.heads().len() > first
+    })
+    .await;
+    let took = began.elapsed();
+    assert!(took >= time::Duration::from_millis(500), "{took:?}");
+    assert!(took < time::Duration::from_secs(PAUSE_SECONDS), "{took:?}");
+}
