--- a/crates/core/src/traffic/target_limits.rs
+++ b/crates/core/src/traffic/target_limits.rs
@@ -1,4 +1,5 @@
-//! The limits that targets named in their answers, and this host's shares of them.
+//! What targets say in their answers of the requests that they want: limits, pauses, and that they
+//! leave.
 
 use std::collections;
 use std::time;
@@ -34,12 +35,13 @@
 /// Least rate of a sender in requests per second, by which the end of a limit is found out.
 const PROBE_RATE: f64 = 0.1;
 
-/// The limits that targets named in their answers, and this host's shares of them.
+/// What targets say in their answers of the requests that they want.
 ///
-/// A limit binds all hosts together, and no message stands on a request's path. So a few hosts
-/// of the target's region, chosen by rendezvous hashing, divide the limit, and the others leave
-/// the target out. What one host hears of a target it tells the others; of two statements of a
-/// target the one that it made later counts.
+/// A pause is meant for one host, and a target that leaves tells each host itself. A limit binds
+/// all hosts together, and no message stands on a request's path. So a few hosts of the target's
+/// region, chosen by rendezvous hashing, divide the limit, and the others leave the target out.
+/// What one host hears of a limit it tells the others; of two statements of a target the one that
+/// it made later counts.
 #[derive(Debug)]
 pub struct TargetLimits {
     host: name::Host,
