--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -399,6 +399,30 @@
     directory: std::path::PathBuf,
 }
 
+fn launch(directory: &std::path::Path) -> std::process::Child {
+    let mut log = std::fs::File::options();
+    let log = log.create(true).append(true).open(directory.join("log")).expect("log");
+    let program = std::env::var("HOST_PROGRAM");
+    let program = program.unwrap_or_else(|_| "target/release/skylark-host".to_owned());
+    let mut command = std::process::Command::new(program);
+    // The host ends with this script, however that ends.
+    // SAFETY: only a system call is made between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
+            Ok(())
+        });
+    }
+    command
+        .args(["--metrics", "9100"])
+        .env("SKYLARKMOUNT_CONFIG", directory.join("boot.json"))
+        .stdin(std::process::Stdio::null())
+        .stdout(log.try_clone().expect("log"))
+        .stderr(log)
+        .spawn()
+        .expect("host program; build it with the command of the deploy file")
+}
+
 impl Host {
     pub fn front(&self) -> SocketAddr {
         (self.ip, 8206).into()
@@ -434,25 +458,7 @@
         );
         let file = directory.join("boot.json");
         std::fs::write(&file, settings).expect("settings");
-        let log = std::fs::File::create(directory.join("log")).expect("log");
-        let program = std::env::var("HOST_PROGRAM").unwrap_or_else(|_| "target/release/skylark-host".to_owned());
-        let mut command = std::process::Command::new(program);
-        // The host ends with this script, however that ends.
-        // SAFETY: only a system call is made between fork and exec.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
-                Ok(())
-            });
-        }
-        let child = command
-            .args(["--metrics", "9100"])
-            .env("SKYLARKMOUNT_CONFIG", &file)
-            .stdin(std::process::Stdio::null())
-            .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .spawn()
-            .expect("host program; build it with the command of the deploy file");
+        let child = launch(&directory);
         Self { name: name.to_owned(), ip, child, directory }
     }
 
@@ -478,6 +484,11 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    /// Starts the process again after it has ended, as the platform does.
+    pub fn restart(&mut self) {
+        self.child = launch(&self.directory);
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().is_ok_and(|status| status.is_some())
     }
