Review case 1: hosts refuse a service for good after callers have left

Shown with review/1/run.sh: a process with 400 callers is killed five times while requests wait for room. Later both hosts serve 0 of 40 calm requests for that service, whose backends are idle, and 40 of 40 for another one.

--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -375,9 +375,14 @@
 
 /// Registers a backend as ready and warm, with a start of its own.
 pub fn register(store: &Store, id: &str, address: SocketAddr, slots: u32) {
+    register_for(store, "ledger", id, address, slots);
+}
+
+/// Registers a backend of a service.
+pub fn register_for(store: &Store, service: &str, id: &str, address: SocketAddr, slots: u32) {
     let born = BORN.fetch_add(1_000, Ordering::Relaxed);
     let row = format!(
-        r#"{{"address":"{address}","info":{{"service":"ledger","version":"v1","zone":"z1",
+        r#"{{"address":"{address}","info":{{"service":"{service}","version":"v1","zone":"z1",
         "slots":{slots}}},"status":{{"state":"ready","sequence":1,"warmupLeftS":0}},"born":{born}}}"#
     );
     store.put("servers", id, &row);
