--- a/review/kit/leave.rs
+++ b/review/kit/leave.rs
@@ -22,10 +22,13 @@
     "sessionAffinity":false,"allowedRegions":[]}"#;
 /// `recoveryS`, and a second.
 const PAUSE: Duration = Duration::from_secs(16);
-/// Callers of a process, each with one request at a time.
+/// Callers of the process that is killed, each with one request at a time: a share of 0.3.
 const CALLERS: usize = 400;
+/// The other callers, and the time between two requests of each.
+const OTHERS: usize = 940;
+const OTHERS_INTERVAL: Duration = Duration::from_secs(15);
 /// Processes of callers, one after the other, and the time after which each is killed.
-const ENDS: usize = 5;
+const ENDS: usize = 8;
 const BEFORE_END: Duration = Duration::from_millis(3_500);
 /// Time after which the callers stop by themselves.
 const BURST: Duration = Duration::from_secs(4);
@@ -73,7 +76,35 @@
     callers.into_iter().for_each(|caller| caller.join().expect("caller"));
 }
 
+/// Sends the requests of the other callers, who wait for their answers, to the first service.
+fn send_patiently(fronts: &[std::net::SocketAddr]) {
+    let began = Instant::now();
+    let end = BEFORE_END * ENDS as u32;
+    let callers: Vec<_> = (0..OTHERS)
+        .map(|n| {
+            let front = fronts[n % fronts.len()];
+            std::thread::spawn(move || {
+                std::thread::sleep(OTHERS_INTERVAL.mul_f64(n as f64 / OTHERS as f64));
+                for count in 0.. {
+                    if began.elapsed() > end {
+                        return;
+                    }
+                    let id = format!("other-{n}-{count}");
+                    let bytes = kit::request("GET", &format!("/look/{n}"), &id, DEADLINE_MS, &[]);
+                    let _ = kit::call(front, &bytes, Duration::from_millis(DEADLINE_MS));
+                    std::thread::sleep(OTHERS_INTERVAL.min(end.saturating_sub(began.elapsed())));
+                }
+            })
+        })
+        .collect();
+    callers.into_iter().for_each(|caller| caller.join().expect("caller"));
+}
+
 fn main() {
+    if std::env::args().nth(1).as_deref() == Some("others") {
+        let fronts: Vec<_> = std::env::args().skip(2).filter_map(|word| word.parse().ok()).collect();
+        return send_patiently(&fronts);
+    }
     let fronts: Vec<_> = std::env::args().skip(1).filter_map(|word| word.parse().ok()).collect();
     if !fronts.is_empty() {
         return send(&fronts);
@@ -133,6 +164,9 @@
     let fronts: Vec<_> = hosts.iter().map(kit::Host::front).collect();
     let program = std::env::current_exe().expect("program");
     let words: Vec<String> = fronts.iter().map(ToString::to_string).collect();
+    let others = ["others".to_owned()].into_iter().chain(words.clone());
+    let mut others = std::process::Command::new(&program).args(others).spawn().expect("callers");
+    record.add(format!("a process with {OTHERS} patient callers of the first service begins to send"));
     for n in 0..ENDS {
         let mut process = std::process::Command::new(&program).args(&words).spawn().expect("callers");
         record.add(format!("process {n} with {CALLERS} callers begins to send"));
@@ -143,6 +177,7 @@
         let ended = process.wait().expect("callers");
         record.add(format!("process {n} with its callers has ended: {ended}"));
     }
+    others.wait().expect("callers");
     std::thread::sleep(PAUSE);
     let ask = |path: &'static str| {
         let callers: Vec<_> = fronts
