--- a/review/kit/holder.rs
+++ b/review/kit/holder.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 const HOSTS: u8 = 8;
-/// Hosts that are stopped: a share of 0.45. For this account, named so, and these hosts, rendezvous
+/// Hosts that are stopped: half of them. For this account, named so, and these hosts, rendezvous
 /// hashing makes front-4 the holder, and front-6 and front-7 the next ones in line.
 const STOPPED: [usize; 4] = [4, 6, 7, 1];
 /// `gap_s` between two stops.
