Count what a host waits for at its targets, and log silent ones

The metrics have the requests at targets and the silent targets, and a line says when a target is left out as silent and when it is not any more.

--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -313,6 +313,22 @@
         report
     }
 
+    /// Returns the requests of this host that wait for an answer, and their targets that are silent.
+    #[must_use]
+    pub fn owed_answers(
+        &self,
+        now: instant::Instant,
+    ) -> (u32, collections::BTreeSet<name::Target>) {
+        let statuses = || self.pools.values().flat_map(|pool| &pool.targets);
+        let silent = statuses().filter(|status| status.is_silent(now));
+        (
+            statuses()
+                .map(target_status::TargetStatus::own_requests)
+                .sum(),
+            silent.map(|status| status.target.id.clone()).collect(),
+        )
+    }
+
     fn target_loads(&self) -> Vec<(u32, u16)> {
         let statuses = self.pools.values().flat_map(|pool| &pool.targets);
         let busy = statuses.filter(|status| status.own_requests() > 0);
--- a/crates/core/src/traffic/target_status.rs
+++ b/crates/core/src/traffic/target_status.rs
@@ -155,10 +155,15 @@
     /// Returns whether the target gets no requests because of failures or silence.
     #[must_use]
     pub fn is_excluded(&self, now: instant::Instant) -> bool {
-        let stall_time = (self.mean_processing_time() * STALL_FACTOR).max(MIN_STALL_TIME);
-        let is_stalled = self.owed_answers() > 0 && now.since(self.progress_at) > stall_time;
         let is_probed = self.outlier.is_probe_due(now) && self.own_requests > 0;
-        self.outlier.is_ejected(now) || is_probed || is_stalled
+        self.outlier.is_ejected(now) || is_probed || self.is_silent(now)
+    }
+
+    /// Returns whether the target owes answers and has shown no sign of life for some time.
+    #[must_use]
+    pub fn is_silent(&self, now: instant::Instant) -> bool {
+        let stall_time = (self.mean_processing_time() * STALL_FACTOR).max(MIN_STALL_TIME);
+        self.owed_answers() > 0 && now.since(self.progress_at) > stall_time
     }
 
     /// Returns the number of requests that the target should answer; it owes no answer while a body
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -47,6 +47,8 @@
     is_reader: bool,
     /// Whether other hosts were asked for a newer configuration than the store's.
     is_confirmed: bool,
+    /// Targets that owe this host answers and are silent.
+    silent: collections::BTreeSet<name::Target>,
 }
 
 impl ClusterState {
@@ -65,6 +67,7 @@
             has_synced: false,
             is_reader: true,
             is_confirmed: false,
+            silent: collections::BTreeSet::new(),
         }
     }
 
@@ -300,6 +303,7 @@
             log::warn!(zones:% = field::List(&ended); "evacuation not ordered again after the store returned from an older copy; zone in use again");
             self.dispatcher.set_closed(&self.evacuations.zones(), now);
         }
+        self.log_silent_targets(now);
         let expired = self.registry.expire(now);
         let accepted = self.registry.accept_outdated(now);
         if expired.is_empty() && accepted.is_empty() {
@@ -315,6 +319,17 @@
         self.dispatcher.set_targets(&self.registry.targets(), now);
     }
 
+    fn log_silent_targets(&mut self, now: instant::Instant) {
+        let (owed, silent) = self.dispatcher.owed_answers(now);
+        for id in silent.difference(&self.silent) {
+            log::warn!(target_id:% = id, owed; "target owes an answer and is silent; sending it nothing");
+        }
+        for id in self.silent.difference(&silent) {
+            log::info!(target_id:% = id; "target is not silent any more");
+        }
+        self.silent = silent;
+    }
+
     /// Applies changed rows of the configuration's table; `accepted` is the row of the
     /// configuration before.
     fn apply_config(
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -173,6 +173,7 @@
             .dispatcher()
             .limits()
             .limited(state.clock.now());
+        let (owed, silent) = state.cluster().dispatcher().owed_answers(state.clock.now());
         let hosts = state
             .cluster()
             .dispatcher()
@@ -195,6 +196,11 @@
                 "skylark_host_limited_targets",
                 u64::try_from(limited).unwrap_or(u64::MAX),
             ),
+            ("skylark_host_requests_at_targets", owed.into()),
+            (
+                "skylark_host_silent_targets",
+                u64::try_from(silent.len()).unwrap_or(u64::MAX),
+            ),
             (
                 "skylark_host_heard_hosts",
                 u64::try_from(hosts).unwrap_or(u64::MAX),
