Give back the place of a request whose caller has left

Cause: a place at a target was counted when it was chosen, and taken back by the record of the attempt's end, which did not exist while the place was on its way through the queue's channel. If the caller had left and its task had not run since, the channel took the place and dropped it. The target then owed an answer for good, was taken for silent, and got nothing more.

Change: the attempt is made together with the place and travels through the channel; dropping it anywhere takes the place back, with its token of a cold or limited target. A retry that is not sent goes back to the budget in the same way. Callers that have left leave the queue before places are given out. A count without an end lapses 5 s after its deadline and is logged as an error.

Ruled out by the metrics: targets that are full, ejected or cold.

--- a/crates/core/src/traffic/cold_start.rs
+++ b/crates/core/src/traffic/cold_start.rs
@@ -59,6 +59,11 @@
     pub fn take(&mut self, now: instant::Instant) {
         self.gate.take(now);
     }
+
+    /// Returns the token of a request that was not sent.
+    pub fn put_back(&mut self) {
+        self.gate.put_back();
+    }
 }
 
 /// Returns the rate in requests per second at which a host may send to a cold target.
--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -101,6 +101,8 @@
     crashes: crashes::Crashes,
     spillover: spillover::Spillover,
     limits: target_limits::TargetLimits,
+    /// Requests whose end was not recorded long after their deadlines.
+    overdue: u64,
 }
 
 impl<T> Dispatcher<T> {
@@ -125,6 +127,7 @@
             crashes: crashes::Crashes::default(),
             spillover: spillover::Spillover::default(),
             limits: target_limits,
+            overdue: 0,
         }
     }
 
@@ -378,9 +381,17 @@
         for pool in self.pools.values_mut() {
             pool.retries.set_hosts(allowance, hosts);
             pool.update_typical_load(now);
+            let overdue = pool.targets.iter_mut().map(|status| status.expire(now));
+            self.overdue += overdue.map(u64::from).sum::<u64>();
         }
     }
 
+    /// Returns the number of requests whose end was not recorded long after their deadlines.
+    #[must_use]
+    pub const fn overdue(&self) -> u64 {
+        self.overdue
+    }
+
     /// Selects the service for the next request of a route, by weighted round robin.
     pub fn choose_service(&mut self, route: &super::Route) -> Option<name::Service> {
         if let [part] = &*route.split {
@@ -420,6 +431,13 @@
         pool.is_some_and(|pool| pool.retries.withdraw())
     }
 
+    /// Returns a retry that was not sent to its service's retry budget.
+    pub fn return_retry(&mut self, service: &name::Service) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.retries.put_back();
+        }
+    }
+
     /// Decides what happens to a request now; a selected target counts it as sent.
     pub fn place(
         &mut self,
@@ -466,7 +484,7 @@
         let is_spillover = planned.is_some_and(|zone| self.topology.region(&zone) != region);
         self.spillover.record(is_spillover, now);
         let load = status.load(now);
-        status.record_send(now);
+        let is_cold = status.record_send(request.deadline, now);
         self.limits.record_send(&status.target.id, now);
         placement::Placement::Send(placement::Pick {
             service: request.service.clone(),
@@ -478,6 +496,7 @@
             load,
             expected_latency: candidate.latency,
             chosen_at: now,
+            is_cold,
         })
     }
 
@@ -507,6 +526,13 @@
         })
     }
 
+    /// Drops the queued requests whose item does not meet a condition.
+    pub fn retain_waiting(&mut self, is_kept: impl Fn(&T) -> bool) {
+        for queue in self.queues.values_mut() {
+            queue.retain(&is_kept);
+        }
+    }
+
     /// Returns whether any request is queued.
     #[must_use]
     pub fn has_waiting(&self) -> bool {
@@ -588,6 +614,12 @@
         let Some(position) = pool.position(&pick.target) else {
             return;
         };
+        if result == placement::AttemptResult::Unsent {
+            self.limits.record_unsent(&pick.target);
+            if pick.is_cold {
+                pool.targets[position].cold_start.put_back();
+            }
+        }
         let work = pool.targets[position].without_queueing(work, pick.load);
         if matches!(result, placement::AttemptResult::Answered(_)) {
             pool.record_time(&request.route.name, pick.warmth, work);
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -42,6 +42,8 @@
     pub expected_latency: time::Duration,
     /// When the target was selected.
     pub chosen_at: instant::Instant,
+    /// Whether a token of the target's cold rate was taken.
+    pub is_cold: bool,
 }
 
 /// The refusal of a request that gets no target.
@@ -77,6 +79,8 @@
     Misdirected,
     /// No connection could be opened; nothing was sent.
     ConnectFailed,
+    /// The target was not tried, as the caller left or the host held the request back.
+    Unsent,
     /// The connection was lost, or the answer didn't belong to this request.
     Disconnected,
     /// The deadline passed before an answer arrived.
--- a/crates/core/src/traffic/rate_gate.rs
+++ b/crates/core/src/traffic/rate_gate.rs
@@ -49,4 +49,9 @@
         self.bucket.refill(self.bucket.limit().burst, now);
         self.bucket.take(budget::Amount::TOKEN);
     }
+    /// Returns the token of a request that was not sent.
+    pub(super) fn put_back(&mut self) {
+        let burst = self.bucket.limit().burst;
+        self.bucket.put(budget::Amount::TOKEN, burst);
+    }
 }
--- a/crates/core/src/traffic/retry_budget.rs
+++ b/crates/core/src/traffic/retry_budget.rs
@@ -45,4 +45,9 @@
         self.level -= 1.0;
         true
     }
+
+    /// Returns a retry that was not sent.
+    pub fn put_back(&mut self) {
+        self.level = (self.level + 1.0).min(self.max_level);
+    }
 }
--- a/crates/core/src/traffic/target_limit.rs
+++ b/crates/core/src/traffic/target_limit.rs
@@ -164,6 +164,11 @@
         self.gate.take(now);
     }
 
+    /// Returns the token of a request that was not sent.
+    pub(super) fn put_back(&mut self) {
+        self.gate.put_back();
+    }
+
     /// Returns whether a message for these hosts names the limit now, and remembers that it does.
     pub(super) fn tell(&mut self, audience: limit_report::Audience, now: instant::Instant) -> bool {
         let is_for_audience = match (audience, self.statement.origin) {
--- a/crates/core/src/traffic/target_limits.rs
+++ b/crates/core/src/traffic/target_limits.rs
@@ -302,6 +302,14 @@
         }
     }
 
+    /// Returns the token of a request that was not sent after all.
+    pub fn record_unsent(&mut self, target: &name::Target) {
+        let entry = self.targets.get_mut(target);
+        if let Some(limit) = entry.and_then(|entry| entry.limit.as_mut()) {
+            limit.put_back();
+        }
+    }
+
     /// Returns the number of limited targets.
     #[must_use]
     pub fn limited(&self, now: instant::Instant) -> usize {
--- a/crates/core/src/traffic/target_status.rs
+++ b/crates/core/src/traffic/target_status.rs
@@ -24,6 +24,8 @@
 const DEFAULT_PROCESSING_TIME: time::Duration = time::Duration::from_millis(200);
 /// Most recent affinity keys from this host that a target is assumed to keep warm.
 const MAX_WARM_KEYS: usize = 24;
+/// Time after its deadline from which on a request no longer counts, although no end was recorded.
+const OVERDUE_TIME: time::Duration = time::Duration::from_secs(5);
 /// Basis points in 100%.
 const WHOLE_BASIS_POINTS: f64 = 10_000.0;
 
@@ -39,6 +41,8 @@
     pub cold_start: cold_start::ColdStart,
     /// Requests of this host at the target.
     own_requests: u32,
+    /// Latest deadline of these requests.
+    last_deadline: instant::Instant,
     /// Requests of this host whose bodies are not whole at the target yet.
     uploads: u32,
     /// Requests of other hosts at the target, observed in its last answer.
@@ -72,6 +76,7 @@
             target,
             cold_start: cold,
             own_requests: 0,
+            last_deadline: now,
             uploads: 0,
             other_requests: 0.0,
             typical_requests: 0.0,
@@ -195,15 +200,27 @@
         self.mean_processing_time().mul_f64(ahead / slots)
     }
 
-    /// Records a request that is sent to the target.
-    pub fn record_send(&mut self, now: instant::Instant) {
+    /// Records a request that is sent to the target; returns whether it took a token of the cold rate.
+    pub fn record_send(&mut self, deadline: instant::Instant, now: instant::Instant) -> bool {
         if self.owed_answers() == 0 {
             self.progress_at = now;
         }
         self.own_requests += 1;
-        if self.cold_start.is_cold(now) {
+        self.last_deadline = self.last_deadline.max(deadline);
+        let is_cold = self.cold_start.is_cold(now);
+        if is_cold {
             self.cold_start.take(now);
         }
+        is_cold
+    }
+
+    /// Forgets requests whose end was not recorded long after their deadlines; returns their number.
+    pub fn expire(&mut self, now: instant::Instant) -> u32 {
+        if now < self.last_deadline + OVERDUE_TIME {
+            return 0;
+        }
+        self.uploads = 0;
+        std::mem::take(&mut self.own_requests)
     }
 
     /// Records that a long request body is on its way to the target.
@@ -266,6 +283,7 @@
                 self.record_cut(warmup, now);
             }
             placement::AttemptResult::Misdirected
+            | placement::AttemptResult::Unsent
             | placement::AttemptResult::TimedOut
             | placement::AttemptResult::Cancelled => {}
         }
--- a/crates/core/src/traffic/wait_queue.rs
+++ b/crates/core/src/traffic/wait_queue.rs
@@ -71,6 +71,11 @@
         None
     }
 
+    /// Drops the requests whose item does not meet a condition.
+    pub fn retain(&mut self, is_kept: impl Fn(&T) -> bool) {
+        self.waiters.retain(|waiter| is_kept(&waiter.item));
+    }
+
     /// Removes and returns all requests in order.
     pub fn drain(&mut self) -> Vec<Waiter<T>> {
         std::mem::take(&mut self.waiters)
--- a/crates/core/tests/traffic/main.rs
+++ b/crates/core/tests/traffic/main.rs
@@ -12,3 +12,4 @@
 mod splits;
 mod suspension;
 mod target_limits;
+mod unsent;
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -49,6 +49,8 @@
     is_confirmed: bool,
     /// Targets that owe this host answers and are silent.
     silent: collections::BTreeSet<name::Target>,
+    /// Requests whose end was not recorded, as logged last.
+    overdue: u64,
 }
 
 impl ClusterState {
@@ -68,6 +70,7 @@
             is_reader: true,
             is_confirmed: false,
             silent: collections::BTreeSet::new(),
+            overdue: 0,
         }
     }
 
@@ -304,6 +307,11 @@
             self.dispatcher.set_closed(&self.evacuations.zones(), now);
         }
         self.log_silent_targets(now);
+        let overdue = self.dispatcher.overdue();
+        if overdue > self.overdue {
+            log::error!(requests = overdue - self.overdue; "end of requests not recorded long after their deadlines; counting them as ended");
+            self.overdue = overdue;
+        }
         let expired = self.registry.expire(now);
         let accepted = self.registry.accept_outdated(now);
         if expired.is_empty() && accepted.is_empty() {
--- a/crates/host/src/exchange.rs
+++ b/crates/host/src/exchange.rs
@@ -9,6 +9,7 @@
 use skylark_platform::header;
 use skylark_runtime::field;
 
+use super::attempt;
 use super::body;
 use super::connections;
 use super::download;
@@ -102,7 +103,7 @@
     fn withheld() -> Self {
         Self {
             is_withheld: true,
-            ..Self::without(traffic::AttemptResult::Cancelled, SUSPENDED)
+            ..Self::without(traffic::AttemptResult::Unsent, SUSPENDED)
         }
     }
 }
@@ -110,21 +111,21 @@
 /// Sends a request to a target and reads the response.
 pub(crate) async fn run(
     state: &sync::Arc<state::State>,
-    pick: &traffic::Pick,
+    attempt: &mut attempt::Attempt,
     request: &Request,
     payload: &mut Payload,
 ) -> Outcome {
     let fault = upload::FaultCell::default();
-    payload.set_upload(|| Some(upload::Upload::new(state, pick, &fault)));
-    let outcome = attempt(state, pick, request, payload, &fault).await;
+    payload.set_upload(|| Some(upload::Upload::new(state, attempt.pick(), &fault)));
+    let outcome = send_pooled(state, attempt, request, payload, &fault).await;
     payload.set_upload(|| None);
     outcome
 }
 
 /// Sends a request on a pooled connection if there is one, or else on a new one.
-async fn attempt(
+async fn send_pooled(
     state: &sync::Arc<state::State>,
-    pick: &traffic::Pick,
+    attempt: &mut attempt::Attempt,
     request: &Request,
     payload: &mut Payload,
     fault: &upload::FaultCell,
@@ -137,11 +138,11 @@
         // Without an id, a late answer to an earlier request could not be told from the own one.
         let pooled = (!request.id.is_empty()).then(|| {
             let connections = &state.connections;
-            connections.take(&pick.target, request.is_idempotent, now)
+            connections.take(&attempt.pick().target, request.is_idempotent, now)
         });
         let connection = match pooled.flatten() {
             Some(connection) => connection,
-            None => match connect(state, pick, request).await {
+            None => match connect(state, attempt.pick(), request).await {
                 // The host may have been suspended while the connection was opened.
                 _ if state.is_catching_up() => return Outcome::withheld(),
                 Ok(connection) => connection,
@@ -151,7 +152,7 @@
             },
         };
         let is_used = connection.is_used();
-        match send(state, pick, request, payload, fault, connection).await {
+        match send(state, attempt, request, payload, fault, connection).await {
             Some(outcome) => return outcome,
             // The target closed the pooled connection before anything was sent on it.
             None if is_used => {}
@@ -189,7 +190,7 @@
 /// Sends a request on one connection; returns `None` if nothing of it was sent.
 async fn send(
     state: &sync::Arc<state::State>,
-    pick: &traffic::Pick,
+    attempt: &mut attempt::Attempt,
     request: &Request,
     payload: &mut Payload,
     fault: &upload::FaultCell,
@@ -203,8 +204,14 @@
             "request body already sent",
         ));
     };
-    let outgoing = build_request(pick, request, remaining.saturating_sub(RETURN_MARGIN), body);
+    let outgoing = build_request(
+        attempt.pick(),
+        request,
+        remaining.saturating_sub(RETURN_MARGIN),
+        body,
+    );
     connection.head_limit.reset();
+    attempt.record_send();
     let exchange = connection.sender.try_send_request(outgoing);
     let response = match tokio::time::timeout(remaining, exchange).await {
         Err(_elapsed) => {
@@ -216,6 +223,7 @@
         Ok(Err(mut error)) => {
             if let Some(unsent) = error.take_message() {
                 payload.put_back(unsent.into_body());
+                attempt.record_unsent();
                 return None;
             }
             return Some(match fault.get() {
@@ -229,7 +237,7 @@
         Ok(Ok(response)) => response,
     };
     connection.head_limit.lift();
-    Some(receive(state, pick, request, response, connection).await)
+    Some(receive(state, attempt.pick(), request, response, connection).await)
 }
 
 fn build_request(
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,6 +1,7 @@
 //! Entry host, look-up and control of one host in one process, on the users' platform.
 
 mod active;
+mod attempt;
 mod body;
 mod caller_stream;
 mod callers;
@@ -28,6 +29,7 @@
 mod reload;
 mod reports;
 mod response;
+mod retry_token;
 mod state;
 mod stream;
 mod tokens;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -144,6 +144,10 @@
                 "skylark_host_malformed_limits_total",
                 get(&self.malformed_limits),
             ),
+            (
+                "skylark_host_overdue_requests_total",
+                state.cluster().dispatcher().overdue(),
+            ),
         ];
         for (name, value) in counters {
             writeln!(out, "# TYPE {name} counter\n{name} {value}")?;
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -14,11 +14,13 @@
 use skylark_runtime::logs;
 
 use super::active;
+use super::attempt;
 use super::body;
 use super::exchange;
 use super::memory;
 use super::queue;
 use super::response;
+use super::retry_token;
 use super::state;
 use super::tokens;
 use super::upload;
@@ -74,27 +76,6 @@
     holder: Option<net::SocketAddr>,
 }
 
-/// Records the result of an attempt at a target when it is dropped.
-struct Attempt {
-    state: sync::Arc<state::State>,
-    request: traffic::Request,
-    pick: traffic::Pick,
-    result: traffic::AttemptResult,
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        let now = self.state.clock.now();
-        self.state.cluster().dispatcher_mut().record_result(
-            &self.request,
-            &self.pick,
-            self.result,
-            now,
-        );
-        queue::dispatch(&self.state);
-    }
-}
-
 /// Returns whether a request may run more than once, by the route that it matches.
 pub(crate) fn is_idempotent(state: &state::State, parts: &hyper::http::request::Parts) -> bool {
     let matched = match_route(state, parts, &mut RequestLog::default());
@@ -417,20 +398,16 @@
     entry: &mut RequestLog,
 ) -> Result<response::Response, Rejection> {
     let mut sends = 0;
+    let mut retry = None;
     loop {
-        let pick = pick_target(state, request, entry).await?;
+        let mut attempt = pick_target(state, request, entry).await?;
+        attempt.set_retry(retry.take());
+        let pick = attempt.pick();
         state.metrics.record_send(pick.warmth, sends > 0);
         entry.picks.push(pick.clone());
         request.tried.push(pick.target.clone());
-        let mut attempt = Attempt {
-            state: sync::Arc::clone(state),
-            request: request.clone(),
-            pick,
-            result: traffic::AttemptResult::Cancelled,
-        };
-        let outcome = exchange::run(state, &attempt.pick, outgoing, payload).await;
-        attempt.result = outcome.result;
-        drop(attempt);
+        let outcome = exchange::run(state, &mut attempt, outgoing, payload).await;
+        attempt.end(outcome.result);
         if outcome.is_withheld {
             return Err(withheld(request, sends));
         }
@@ -446,20 +423,19 @@
             | traffic::AttemptResult::Misdirected
             | traffic::AttemptResult::ConnectFailed => true,
             traffic::AttemptResult::Answered(_)
+            | traffic::AttemptResult::Unsent
             | traffic::AttemptResult::TimedOut
             | traffic::AttemptResult::Cancelled => false,
         };
         let has_sends_left = sends < request.route.max_attempts && payload.is_sendable();
-        let is_retried = allows_rerun
-            && has_sends_left
-            && state.clock.now() < request.deadline
-            && (sends == 0
-                || state
-                    .cluster()
-                    .dispatcher_mut()
-                    .take_retry(&request.service));
-        if is_retried {
-            continue;
+        if allows_rerun && has_sends_left && state.clock.now() < request.deadline {
+            if sends == 0 {
+                continue;
+            }
+            retry = retry_token::RetryToken::take(state, &request.service);
+            if retry.is_some() {
+                continue;
+            }
         }
         if let Some(response) = outcome.response {
             return Ok(response);
@@ -533,24 +509,27 @@
     state: &sync::Arc<state::State>,
     request: &traffic::Request,
     entry: &mut RequestLog,
-) -> Result<traffic::Pick, Rejection> {
+) -> Result<attempt::Attempt, Rejection> {
     let now = state.clock.now();
     let placement = state.cluster().dispatcher_mut().place(request, now);
-    let placement = match placement {
+    let delivery = match placement {
+        traffic::Placement::Send(pick) => {
+            return Ok(attempt::Attempt::new(state, request.clone(), pick));
+        }
+        traffic::Placement::Refuse(refusal) => queue::Delivery::Refused(refusal),
         traffic::Placement::Wait(until) => {
             entry.waited = true;
             state.metrics.record_wait();
             wait_in_queue(state, request, until).await
         }
-        placement => placement,
     };
     let may_have_run = request.route.is_idempotent() && !request.tried.is_empty();
-    match placement {
-        traffic::Placement::Send(pick) => Ok(pick),
-        traffic::Placement::Refuse(refusal) if !may_have_run => {
+    match delivery {
+        queue::Delivery::Placed(attempt) => Ok(*attempt),
+        queue::Delivery::Refused(refusal) if !may_have_run => {
             Err(Rejection::new(refusal.kind, "no capacity in time").with_delay(refusal.pause))
         }
-        _ => Err(Rejection::new(
+        queue::Delivery::Refused(_) => Err(Rejection::new(
             kind::ErrorKind::TargetFailed,
             "no capacity for another attempt",
         )),
@@ -561,24 +540,25 @@
     state: &sync::Arc<state::State>,
     request: &traffic::Request,
     until: instant::Instant,
-) -> traffic::Placement {
-    let (waiter, placement) = tokio::sync::oneshot::channel();
-    {
-        let now = state.clock.now();
+) -> queue::Delivery {
+    let (waiter, delivery) = tokio::sync::oneshot::channel();
+    let evicted = {
         let mut cluster = state.cluster();
-        let dispatcher = cluster.dispatcher_mut();
-        if let Some(dequeued) = dispatcher.enqueue(request.clone(), until, waiter) {
-            queue::deliver(dispatcher, dequeued, now);
-        }
+        cluster
+            .dispatcher_mut()
+            .enqueue(request.clone(), until, waiter)
+    };
+    if let Some(dequeued) = evicted {
+        queue::deliver(state, dequeued);
     }
     state.queue_changed.notify_one();
-    match placement.await {
-        Ok(placement) => placement,
+    match delivery.await {
+        Ok(delivery) => delivery,
         Err(_dropped) => {
             let now = state.clock.now();
             let cluster = state.cluster();
             let kind = kind::ErrorKind::Overloaded;
-            traffic::Placement::Refuse(cluster.dispatcher().refusal(request, kind, now))
+            queue::Delivery::Refused(cluster.dispatcher().refusal(request, kind, now))
         }
     }
 }
--- a/crates/host/src/queue.rs
+++ b/crates/host/src/queue.rs
@@ -5,6 +5,7 @@
 
 use skylark_core::traffic;
 
+use super::attempt;
 use super::error;
 use super::state;
 
@@ -12,7 +13,16 @@
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
 /// Channel on which a queued request receives its placement.
-pub(crate) type Waiter = tokio::sync::oneshot::Sender<traffic::Placement>;
+pub(crate) type Waiter = tokio::sync::oneshot::Sender<Delivery>;
+
+/// What a queued request receives.
+#[derive(Debug)]
+pub(crate) enum Delivery {
+    /// A place at a target.
+    Placed(Box<attempt::Attempt>),
+    /// The request is refused and did not run.
+    Refused(traffic::Refusal),
+}
 
 /// Dispatches queued requests until the task is dropped.
 pub(crate) async fn run(state: sync::Arc<state::State>) -> error::Result<()> {
@@ -26,30 +36,30 @@
 }
 
 /// Dispatches the requests that can be placed now, or have waited for their maximum time.
-pub(crate) fn dispatch(state: &state::State) {
+pub(crate) fn dispatch(state: &sync::Arc<state::State>) {
     let now = state.clock.now();
-    let mut cluster = state.cluster();
-    if !cluster.dispatcher().has_waiting() {
-        return;
-    }
-    let dequeued = cluster.dispatcher_mut().dequeue(now);
+    let dequeued = {
+        let mut cluster = state.cluster();
+        let dispatcher = cluster.dispatcher_mut();
+        dispatcher.retain_waiting(|waiter| !waiter.is_closed());
+        dispatcher.dequeue(now)
+    };
     for request in dequeued {
-        deliver(cluster.dispatcher_mut(), request, now);
+        deliver(state, request);
     }
 }
 
-/// Delivers a placement to its request; the slot of a request that is gone is released.
-pub(crate) fn deliver(
-    dispatcher: &mut traffic::Dispatcher<Waiter>,
-    dequeued: traffic::Dequeued<Waiter>,
-    now: skylark_core::instant::Instant,
-) {
-    if let Err(traffic::Placement::Send(pick)) = dequeued.item.send(dequeued.placement) {
-        dispatcher.record_result(
-            &dequeued.request,
-            &pick,
-            traffic::AttemptResult::Cancelled,
-            now,
-        );
-    }
+/// Delivers a placement to its request. The cluster's state must not be locked, as a place that its
+/// request does not take is given up here.
+pub(crate) fn deliver(state: &sync::Arc<state::State>, dequeued: traffic::Dequeued<Waiter>) {
+    let delivery = match dequeued.placement {
+        traffic::Placement::Send(pick) => Delivery::Placed(Box::new(attempt::Attempt::new(
+            state,
+            dequeued.request,
+            pick,
+        ))),
+        traffic::Placement::Refuse(refusal) => Delivery::Refused(refusal),
+        traffic::Placement::Wait(_) => return,
+    };
+    drop(dequeued.item.send(delivery));
 }
