Return the account's token of a request whose caller has left

What callers saw: an account is refused below its limit after some of its callers have left while their requests waited, as the tokens of these requests were lost.

A token that another host granted too late, or for a repeated question, was lost as well: nobody knew its account any more.

Change: a token is a Charge from the admission on, returns itself when it is dropped, and is kept once a target may have run the request. A question for a token is remembered for 2 s, so that a token whose request has gone is sent back to the host that granted it.

--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -89,6 +89,21 @@
     Cancelled,
 }
 
+impl AttemptResult {
+    /// Returns whether the target may have run the request.
+    #[must_use]
+    pub const fn may_have_run(self) -> bool {
+        match self {
+            Self::Answered(_)
+            | Self::Failed(_)
+            | Self::Disconnected
+            | Self::TimedOut
+            | Self::Cancelled => true,
+            Self::NotRun(_) | Self::Misdirected | Self::ConnectFailed | Self::Unsent => false,
+        }
+    }
+}
+
 /// A request that leaves the queue.
 #[derive(Debug)]
 pub struct Dequeued<T> {
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -196,13 +196,21 @@
         fingerprint,
         tried: Vec::new(),
     };
-    admit(state, &request, entry).await?;
+    let mut charge = admit(state, &request, entry).await?;
     let outgoing = build_request(parts, entry, &request);
-    let result = send_with_retries(state, &mut request, &outgoing, &mut payload, entry).await;
-    let has_not_run =
-        matches!(&result, Err(rejection) if rejection.outcome == kind::Outcome::NotRun);
-    if let (true, Some(account)) = (has_not_run, &request.account) {
-        tokens::refund(state, &account.name).await;
+    let sent = send_with_retries(
+        state,
+        &mut request,
+        &outgoing,
+        &mut payload,
+        &mut charge,
+        entry,
+    );
+    let result = sent.await;
+    if let Some(charge) = &mut charge {
+        let has_not_run =
+            matches!(&result, Err(rejection) if rejection.outcome == kind::Outcome::NotRun);
+        charge.set_spent(!has_not_run);
     }
     result
 }
@@ -284,12 +292,12 @@
     }
 }
 
-/// Admits a request, or rejects it before any target is picked.
+/// Admits a request, or rejects it before any target is picked; returns the token of its account.
 async fn admit(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     request: &traffic::Request,
     entry: &mut RequestLog,
-) -> Result<(), Rejection> {
+) -> Result<Option<tokens::Charge>, Rejection> {
     let now = state.clock.now();
     if let Some(stopping) = state.stopping_since() {
         let grace = state.settings().grace_period;
@@ -310,22 +318,23 @@
             "quarantined: targets crashed on this request",
         ));
     }
-    if let Some(account) = &request.account {
-        charge(state, &account.name, entry).await?;
-    }
+    let charge = match &request.account {
+        Some(account) => Some(charge(state, &account.name, entry).await?),
+        None => None,
+    };
     state
         .cluster()
         .dispatcher_mut()
         .record_arrival(request, state.clock.now());
-    Ok(())
+    Ok(charge)
 }
 
 /// Takes a token of the account's rate limit for a request.
 async fn charge(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     account: &name::Account,
     entry: &mut RequestLog,
-) -> Result<(), Rejection> {
+) -> Result<tokens::Charge, Rejection> {
     let now = state.clock.now();
     let charge = state
         .cluster()
@@ -333,7 +342,7 @@
         .quotas_mut()
         .admit(account, now);
     let charged = match charge {
-        traffic::QuotaDecision::Admitted => Ok(()),
+        traffic::QuotaDecision::Admitted => Ok(tokens::Charge::new(state, account)),
         traffic::QuotaDecision::Limited(delay) => Err(delay),
         traffic::QuotaDecision::AskHolder(holder) => {
             entry.holder = Some(holder);
@@ -395,10 +404,12 @@
     request: &mut traffic::Request,
     outgoing: &exchange::Request,
     payload: &mut exchange::Payload,
+    charge: &mut Option<tokens::Charge>,
     entry: &mut RequestLog,
 ) -> Result<response::Response, Rejection> {
     let mut sends = 0;
     let mut retry = None;
+    let mut may_have_run = false;
     loop {
         let mut attempt = pick_target(state, request, entry).await?;
         attempt.set_retry(retry.take());
@@ -406,8 +417,12 @@
         state.metrics.record_send(pick.warmth, sends > 0);
         entry.picks.push(pick.clone());
         request.tried.push(pick.target.clone());
+        // The caller may leave while the target works.
+        set_spent(charge, true);
         let outcome = exchange::run(state, &mut attempt, outgoing, payload).await;
         attempt.end(outcome.result);
+        may_have_run |= outcome.result.may_have_run();
+        set_spent(charge, may_have_run);
         if outcome.is_withheld {
             return Err(withheld(request, sends));
         }
@@ -444,6 +459,12 @@
     }
 }
 
+fn set_spent(charge: &mut Option<tokens::Charge>, is_spent: bool) {
+    if let Some(charge) = charge {
+        charge.set_spent(is_spent);
+    }
+}
+
 /// Returns the rejection of a request whose next attempt is withheld after `sends` others, as the
 /// host was suspended.
 fn withheld(request: &traffic::Request, sends: usize) -> Rejection {
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -253,6 +253,18 @@
     }
 }
 
+/// Sends one message at once; it is dropped if the socket has no room, as a datagram may be lost.
+pub(crate) fn send_now(state: &state::State, message: &message::Message, host: net::SocketAddr) {
+    let Ok(bytes) = bincode::DefaultOptions::new().serialize(message) else {
+        log::error!("message to another host could not be serialized; not sent");
+        return;
+    };
+    let address = net::SocketAddr::new(host.ip(), state.report_port());
+    if let Err(error) = state.reports.try_send_to(&bytes, address) {
+        log::debug!(address:% = address, error:% = error; "datagram could not be sent; dropped");
+    }
+}
+
 fn is_behind(state: &state::State) -> bool {
     let now = state.clock.now();
     let cluster = state.cluster();
@@ -304,7 +316,7 @@
                 send_message(&state, &answer, &[from]).await;
             }
             message::Message::TokenReply { number, grant } => {
-                state.pending_tokens.complete(number, grant);
+                tokens::complete(&state, from, number, grant);
             }
             message::Message::TokenReturn { account } => {
                 let mut cluster = state.cluster();
--- a/crates/host/src/tokens.rs
+++ b/crates/host/src/tokens.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic;
 use std::time;
 
+use skylark_core::instant;
 use skylark_core::name;
 use skylark_core::traffic;
 
@@ -18,11 +19,88 @@
 /// Times that a request is sent, as datagrams can be lost.
 const MAX_TRIES: u32 = 2;
 
-/// Token requests that wait for a reply.
+/// Time for which a question is remembered, so that a token that comes late is returned.
+const MEMORY_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Token requests whose replies may still arrive.
 #[derive(Debug, Default)]
 pub(crate) struct Pending {
     last: atomic::AtomicU64,
-    waiting: sync::Mutex<collections::HashMap<u64, tokio::sync::oneshot::Sender<Grant>>>,
+    questions: sync::Mutex<collections::BTreeMap<u64, Question>>,
+}
+
+/// A request for a token.
+#[derive(Debug)]
+struct Question {
+    /// Digest of the account's name.
+    account: u32,
+    asked_at: instant::Instant,
+    /// Where the first reply goes.
+    waiting: Option<tokio::sync::oneshot::Sender<Reply>>,
+}
+
+/// A reply as the request that waits for it gets it.
+#[derive(Debug)]
+enum Reply {
+    Granted(Charge),
+    Over(time::Duration),
+}
+
+/// A token of a client account's limit; returned when it is dropped without being spent.
+#[derive(Debug)]
+pub(crate) struct Charge {
+    state: sync::Arc<state::State>,
+    source: Source,
+    is_spent: bool,
+}
+
+/// Where a token comes from.
+#[derive(Debug)]
+enum Source {
+    /// This host's share of the account's limit.
+    Own(name::Account),
+    /// The host with this control address, for the account with this digest.
+    Holder(net::SocketAddr, u32),
+}
+
+impl Charge {
+    /// Takes over a token of this host's share.
+    pub(crate) fn new(state: &sync::Arc<state::State>, account: &name::Account) -> Self {
+        Self::from_source(state, Source::Own(account.clone()))
+    }
+
+    fn from_source(state: &sync::Arc<state::State>, source: Source) -> Self {
+        Self {
+            state: sync::Arc::clone(state),
+            source,
+            is_spent: false,
+        }
+    }
+
+    /// Sets whether the request of the token may have run.
+    pub(crate) const fn set_spent(&mut self, is_spent: bool) {
+        self.is_spent = is_spent;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if self.is_spent {
+            return;
+        }
+        let (holder, account) = match &self.source {
+            Source::Own(account) => {
+                let mut cluster = self.state.cluster();
+                let holder = cluster.dispatcher_mut().quotas_mut().refund(account);
+                (holder, traffic::digest(account.as_str()))
+            }
+            Source::Holder(holder, account) => (Some(*holder), *account),
+        };
+        if let Some(holder) = holder {
+            let message = message::Message::TokenReturn { account };
+            reports::send_now(&self.state, &message, holder);
+        }
+    }
 }
 
 /// Reply of the holder of a share.
@@ -35,36 +113,61 @@
     Over(u32),
 }
 
-/// Forgets a token request when it is dropped.
-struct PendingReply<'a> {
-    pending: &'a Pending,
-    number: u64,
-}
-
-impl Drop for PendingReply<'_> {
-    fn drop(&mut self) {
-        self.pending.lock().remove(&self.number);
+impl Pending {
+    /// Adds a question; returns its number, and where the first reply arrives.
+    fn ask(
+        &self,
+        account: u32,
+        now: instant::Instant,
+    ) -> (u64, tokio::sync::oneshot::Receiver<Reply>) {
+        let number = self.last.fetch_add(1, atomic::Ordering::Relaxed);
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        let question = Question {
+            account,
+            asked_at: now,
+            waiting: Some(sender),
+        };
+        let mut questions = self.lock();
+        questions.retain(|_number, question| now.since(question.asked_at) < MEMORY_TIME);
+        questions.insert(number, question);
+        (number, receiver)
     }
-}
 
-impl Pending {
-    /// Passes a reply to the request that waits for it; a late one is dropped.
-    pub(crate) fn complete(&self, number: u64, grant: Grant) {
-        let waiting = self.lock().remove(&number);
-        if waiting.is_none_or(|waiting| waiting.send(grant).is_err()) {
-            log::debug!(number, grant:? = grant; "token reply arrived too late; dropped");
-        }
+    /// Returns the account of a question, and who waits for the reply if it is the first one.
+    fn answer(&self, number: u64) -> Option<(u32, Option<tokio::sync::oneshot::Sender<Reply>>)> {
+        let mut questions = self.lock();
+        let question = questions.get_mut(&number)?;
+        Some((question.account, question.waiting.take()))
     }
 
-    fn lock(
-        &self,
-    ) -> sync::MutexGuard<'_, collections::HashMap<u64, tokio::sync::oneshot::Sender<Grant>>> {
-        self.waiting
+    fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeMap<u64, Question>> {
+        self.questions
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
+/// Passes a reply to the request that waits for it; a token that nobody waits for is returned.
+pub(crate) fn complete(
+    state: &sync::Arc<state::State>,
+    from: net::SocketAddr,
+    number: u64,
+    grant: Grant,
+) {
+    let Some((account, waiting)) = state.pending_tokens.answer(number) else {
+        log::debug!(number, grant:? = grant; "token reply to an unknown request; dropped");
+        return;
+    };
+    let reply = match grant {
+        Grant::Token => Reply::Granted(Charge::from_source(state, Source::Holder(from, account))),
+        Grant::Over(millis) => Reply::Over(time::Duration::from_millis(millis.into())),
+    };
+    match waiting {
+        Some(waiting) => drop(waiting.send(reply)),
+        None => log::debug!(number, reply:? = grant; "token reply arrived too late; returned"),
+    }
+}
+
 /// Asks the holder of an account's share for a token.
 ///
 /// # Errors
@@ -74,21 +177,15 @@
     state: &state::State,
     holder: net::SocketAddr,
     account: &name::Account,
-) -> Result<(), time::Duration> {
-    let pending = &state.pending_tokens;
-    let number = pending.last.fetch_add(1, atomic::Ordering::Relaxed);
-    let (sender, mut receiver) = tokio::sync::oneshot::channel();
-    pending.lock().insert(number, sender);
-    let _pending = PendingReply { pending, number };
+) -> Result<Charge, time::Duration> {
     let account = traffic::digest(account.as_str());
+    let (number, mut receiver) = state.pending_tokens.ask(account, state.clock.now());
     let message = message::Message::TokenRequest { number, account };
     for _try in 0..MAX_TRIES {
         reports::send_message(state, &message, &[holder]).await;
         match tokio::time::timeout(REPLY_TIMEOUT, &mut receiver).await {
-            Ok(Ok(Grant::Token)) => return Ok(()),
-            Ok(Ok(Grant::Over(millis))) => {
-                return Err(time::Duration::from_millis(millis.into()));
-            }
+            Ok(Ok(Reply::Granted(charge))) => return Ok(charge),
+            Ok(Ok(Reply::Over(delay))) => return Err(delay),
             Ok(Err(_dropped)) => break,
             Err(_elapsed) => {}
         }
@@ -111,17 +208,3 @@
         Err(pause) => Grant::Over(u32::try_from(pause.as_millis()).unwrap_or(u32::MAX)),
     }
 }
-
-/// Returns the token of a request that did not run.
-pub(crate) async fn refund(state: &state::State, account: &name::Account) {
-    let holder = state
-        .cluster()
-        .dispatcher_mut()
-        .quotas_mut()
-        .refund(account);
-    if let Some(holder) = holder {
-        let account = traffic::digest(account.as_str());
-        let message = message::Message::TokenReturn { account };
-        reports::send_message(state, &message, &[holder]).await;
-    }
-}
--- a/crates/host/tests/departed_callers.rs
+++ b/crates/host/tests/departed_callers.rs
@@ -23,11 +23,12 @@
 const RELEASE_TIME: time::Duration = time::Duration::from_secs(1);
 
 /// Starts a host whose requests may wait for half a second, and two targets.
-async fn deployment(limit: &str) -> (store::Store, [target::Target; 2], host::Host) {
+async fn deployment(rate: u32, burst: u32) -> (store::Store, [target::Target; 2], host::Host) {
     let store = store::Store::start().await;
     let rules = host::configuration("0000000a", "/look/");
     let rules = rules.replace("\"targetLatencyS\":1", "\"targetLatencyS\":4");
-    let rules = rules.replace("\"ratePerS\":500", limit);
+    let rules = rules.replace("\"ratePerS\":500", &format!("\"ratePerS\":{rate}"));
+    let rules = rules.replace("\"burst\":500", &format!("\"burst\":{burst}"));
     store.put("op", "config", &rules);
     let mut targets = Vec::new();
     for id in ["i-1", "i-2"] {
@@ -70,7 +71,7 @@
 /// requests that it never sent.
 #[tokio::test]
 async fn callers_that_leave_take_their_places_with_them() {
-    let (_store, targets, host) = deployment("\"ratePerS\":500").await;
+    let (_store, targets, host) = deployment(500, 500).await;
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(34);
     for round in 0..ROUNDS {
         for target in &targets {
@@ -100,3 +101,38 @@
         0
     );
 }
+
+/// Guards against accounts that are refused below their limits, as tokens of requests that did not
+/// run are lost.
+#[tokio::test]
+async fn callers_that_leave_before_they_are_served_leave_their_tokens() {
+    const BURST: u32 = 120;
+    /// Tokens at the start; an earlier process may have spent the others.
+    const TOKENS: usize = 30;
+    let (_store, targets, host) = deployment(1, BURST).await;
+    for target in &targets {
+        target.set_behavior(target::Behavior::Hang);
+    }
+    visit(&host, 0, time::Duration::from_millis(200)).await;
+    let sent: usize = targets.iter().map(|target| target.heads().len()).sum();
+    assert!(
+        sent < TOKENS,
+        "{sent} of {TOKENS} were sent, so none waited"
+    );
+    for target in &targets {
+        target.set_behavior(target::Behavior::Answer);
+    }
+    let mut served = 0;
+    while host
+        .request("GET", "/look/x", &format!("after-{served}"))
+        .await
+        .status
+        == 200
+    {
+        served += 1;
+    }
+    assert!(
+        sent + served >= TOKENS,
+        "{sent} were sent and {served} served of {TOKENS}"
+    );
+}
