Pass the role of a small limit's holder from host to host

Cause: each host elected the holder by its own view of the hosts and always counted itself, so one that leaves granted on beside its successor until it ended.

Change: the view only elects where the role goes. A holder hands over with the rest of its tokens once it has ended to grant; an elected host waits for that while the previous holder is heard, and asks again. Hosts that leave or start hold shares only where no other can. Asked for a token, a host that does not hold the share names the one that does. Metric: skylark_host_held_shares.

Ruled out: leaving the own host out of the candidates alone; two views that differ for a second still hold the share twice.

--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -286,6 +286,11 @@
         self.fleet.apply_view(view, now)
     }
 
+    /// Sets this host's description of itself, which is sent without its demand.
+    pub fn set_own_member(&mut self, own: &report::Member) {
+        self.fleet.set_own_member(own);
+    }
+
     fn apply_crashes(&mut self, crashes: &[(u64, name::Target)], now: instant::Instant) {
         for (fingerprint, target) in crashes {
             self.crashes.add(*fingerprint, target, now);
@@ -409,6 +414,12 @@
         Some(route.split[position].service.clone())
     }
 
+    /// Returns the quotas of the client accounts.
+    #[must_use]
+    pub const fn quotas(&self) -> &quotas::Quotas {
+        &self.quotas
+    }
+
     /// Returns the quotas of the client accounts, to charge requests against them.
     pub const fn quotas_mut(&mut self) -> &mut quotas::Quotas {
         &mut self.quotas
--- a/crates/core/src/traffic/fleet.rs
+++ b/crates/core/src/traffic/fleet.rs
@@ -428,6 +428,13 @@
         self.own_report = Some(own.clone());
     }
 
+    /// Sets this host's description of itself, sent without its demand.
+    pub fn set_own_member(&mut self, own: &report::Member) {
+        if let Some(report) = &mut self.own_report {
+            report.member.clone_from(own);
+        }
+    }
+
     /// Builds a relay's view of the whole fleet for the hosts of its zone.
     #[must_use]
     pub fn view(
--- a/crates/core/src/traffic/quota.rs
+++ b/crates/core/src/traffic/quota.rs
@@ -87,6 +87,19 @@
         quota
     }
 
+    /// Returns the tokens that are available.
+    pub(super) fn level(&mut self, now: instant::Instant) -> budget::Amount {
+        self.bucket.refill(self.bucket.limit().burst, now);
+        self.bucket.level()
+    }
+
+    /// Sets the tokens that are available, up to the burst of this host's share.
+    pub(super) fn set_level(&mut self, level: budget::Amount) {
+        let burst = self.bucket.limit().burst;
+        self.bucket.take(budget::Amount::MAX);
+        self.bucket.put(level, burst);
+    }
+
     /// Changes the limit of all hosts together.
     pub fn set_limit(&mut self, limit: budget::Limit, others: PeerDemand, now: instant::Instant) {
         if self.limit != limit {
--- a/crates/core/src/traffic/quotas.rs
+++ b/crates/core/src/traffic/quotas.rs
@@ -14,6 +14,7 @@
 use super::quota;
 use super::report;
 use super::rules;
+use super::share_role;
 use super::topology;
 
 /// Age of a report from which on its demand is ignored.
@@ -39,6 +40,31 @@
     accounts: collections::HashMap<name::Account, AccountQuota>,
     /// When the shares were last computed.
     updated_at: instant::Instant,
+    /// Control address of this host, once it has reported itself.
+    control_address: Option<net::SocketAddr>,
+    /// Messages to other hosts that are not sent yet.
+    outgoing: Vec<(net::SocketAddr, RoleMessage)>,
+}
+
+/// A message between hosts about the holder of a region's share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct RoleMessage {
+    /// Digest of the account's name.
+    pub account: u32,
+    /// Control address of the host that sends the message.
+    pub from: net::SocketAddr,
+    /// What it says.
+    pub notice: share_role::RoleNotice,
+}
+
+/// Why another host gets no token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TokenDenial {
+    /// No token is available; the next one is after this delay.
+    Over(time::Duration),
+    /// The host with this control address holds the share.
+    Moved(net::SocketAddr),
 }
 
 /// A host's share of one account's limit.
@@ -52,16 +78,28 @@
 #[derive(Debug)]
 struct SharedQuota {
     quota: quota::Quota,
-    holder: Holder,
+    role: share_role::ShareRole,
+    /// Demand of the other regions.
+    others: quota::PeerDemand,
 }
 
-/// The host that holds a region's share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Holder {
-    /// This host.
-    Here,
-    /// The host with this control address.
-    At(net::SocketAddr),
+impl SharedQuota {
+    /// Applies a change of the role; returns what to tell another host.
+    fn apply(
+        &mut self,
+        effect: share_role::Effect,
+        now: instant::Instant,
+    ) -> Option<(net::SocketAddr, share_role::RoleNotice)> {
+        if let Some(start) = effect.start {
+            self.quota = quota::Quota::new(self.quota.limit(), self.others, now);
+            match start {
+                share_role::Start::Idle => {}
+                share_role::Start::Empty => self.quota.set_level(budget::Amount::ZERO),
+                share_role::Start::Rest(rest) => self.quota.set_level(rest),
+            }
+        }
+        effect.notice
+    }
 }
 
 /// The decision on a request that is charged against an account's limit.
@@ -125,7 +163,9 @@
 
     /// Recomputes this host's shares from the demand that the other hosts reported.
     pub(super) fn update_shares(&mut self, inputs: Inputs<'_>, now: instant::Instant) {
-        self.updated_at = now;
+        let updated_at = std::mem::replace(&mut self.updated_at, now);
+        let own_report = inputs.fleet.own_report();
+        self.control_address = own_report.map(|report| report.member.control_address);
         let mut sums: collections::HashMap<u32, AccountDemand> = collections::HashMap::new();
         let identity = inputs.identity;
         let demands =
@@ -147,7 +187,9 @@
             }
         }
         let regions = u32::try_from(inputs.topology.regions().len()).unwrap_or(u32::MAX);
-        let holders = holders(inputs, now);
+        let candidates = candidates(inputs, now);
+        let live = inputs.fleet.live(now).map(|member| member.control_address);
+        let live: collections::HashSet<net::SocketAddr> = live.collect();
         for (account, account_quota) in &mut self.accounts {
             let demand_at_peers = sums.get(&hash::digest(account.as_str())).copied();
             let demand_at_peers = demand_at_peers.unwrap_or_default();
@@ -169,22 +211,83 @@
                 hosts: regions.saturating_sub(1),
                 has_majority: inputs.peers.has_majority,
             };
+            let elected = elect(account, &candidates);
+            if let Some(shared) = &mut account_quota.shared {
+                let has_peers = inputs.peers.hosts > 0;
+                shared.role.observe_gap(updated_at, has_peers, now);
+            }
             let shared = account_quota.shared.get_or_insert_with(|| SharedQuota {
                 quota: quota::Quota::new(limit, other_regions, now),
-                holder: Holder::Here,
+                role: share_role::ShareRole::new(elected),
+                others: other_regions,
             });
-            let previous = shared.holder;
-            shared.holder = holder(account, &holders);
-            if previous != shared.holder && shared.holder == Holder::Here {
-                // The previous holder may have spent tokens that this host would count as unused.
-                shared.quota = quota::Quota::new(limit, other_regions, now);
-            }
+            shared.others = other_regions;
             shared.quota.set_limit(limit, other_regions, now);
+            let level = shared.quota.level(now);
+            let is_live = |host| live.contains(&host);
+            let effect = shared.role.elect(elected, level, is_live, now);
+            if let (Some((to, notice)), Some(from)) =
+                (shared.apply(effect, now), self.control_address)
+            {
+                let account = hash::digest(account.as_str());
+                let message = RoleMessage {
+                    account,
+                    from,
+                    notice,
+                };
+                self.outgoing.push((to, message));
+            }
             let demand = account_quota.own.reported_demand() + demand_at_peers.in_region;
             shared.quota.set_share(demand, other_regions, now);
         }
     }
 
+    /// Returns the number of accounts whose share of the region this host holds.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        let shared = self.accounts.values().filter_map(|a| a.shared.as_ref());
+        shared
+            .filter(|shared| shared.role.holder() == Some(share_role::Holder::Here))
+            .count()
+    }
+
+    /// Removes and returns the messages to other hosts, with their control addresses.
+    pub fn take_messages(&mut self) -> Vec<(net::SocketAddr, RoleMessage)> {
+        std::mem::take(&mut self.outgoing)
+    }
+
+    /// Applies a message of another host about the holder of a share.
+    pub fn receive(&mut self, message: RoleMessage, now: instant::Instant) {
+        let Some(own_address) = self.control_address else {
+            return;
+        };
+        let updated_at = self.updated_at;
+        let notice = match self.shared_mut(message.account) {
+            Some(shared) => {
+                shared.role.observe_gap(updated_at, true, now);
+                let level = shared.quota.level(now);
+                let effect = shared
+                    .role
+                    .receive(message.from, message.notice, level, now);
+                shared.apply(effect, now)
+            }
+            // A limit that this host does not know is not held here.
+            None if message.notice == share_role::RoleNotice::Request => Some((
+                message.from,
+                share_role::RoleNotice::HandOver(budget::Amount::ZERO),
+            )),
+            None => None,
+        };
+        self.outgoing.extend(notice.map(|(to, notice)| {
+            let reply = RoleMessage {
+                from: own_address,
+                notice,
+                ..message
+            };
+            (to, reply)
+        }));
+    }
+
     /// Measures this host's demand by account digest, in requests per second, for its next report.
     pub fn report(&mut self, now: instant::Instant) -> Vec<(u32, f32)> {
         let accounts = self.accounts.iter_mut();
@@ -204,32 +307,38 @@
         };
         account_quota.own.count_request(now);
         let has_lapsed = now.since(self.updated_at) > MAX_SHARE_AGE;
-        let taken = match &mut account_quota.shared {
-            None => account_quota.own.take_token(now),
-            Some(shared) => match shared.holder {
-                Holder::Here if has_lapsed => Err(Self::UNANSWERED_DELAY),
-                Holder::Here => shared.quota.take_token(now),
-                Holder::At(host) => return QuotaDecision::AskHolder(host),
-            },
+        let Some(shared) = &mut account_quota.shared else {
+            let taken = account_quota.own.take_token(now);
+            return taken.map_or_else(QuotaDecision::Limited, |()| QuotaDecision::Admitted);
         };
-        taken.map_or_else(QuotaDecision::Limited, |()| QuotaDecision::Admitted)
+        match shared.role.holder() {
+            Some(share_role::Holder::Here) if !has_lapsed => {
+                let taken = shared.quota.take_token(now);
+                taken.map_or_else(QuotaDecision::Limited, |()| QuotaDecision::Admitted)
+            }
+            Some(share_role::Holder::At(host)) => QuotaDecision::AskHolder(host),
+            Some(share_role::Holder::Here) | None => QuotaDecision::Limited(Self::UNANSWERED_DELAY),
+        }
     }
 
     /// Takes a token for another host, which identifies the account by the digest of its name.
     ///
     /// # Errors
     ///
-    /// Fails with the delay after which a token may be available.
-    pub fn grant_token(
-        &mut self,
-        account: u32,
-        now: instant::Instant,
-    ) -> Result<(), time::Duration> {
+    /// Fails with the delay after which a token may be available, or with the holder's address.
+    pub fn grant_token(&mut self, account: u32, now: instant::Instant) -> Result<(), TokenDenial> {
+        let unanswered = TokenDenial::Over(Self::UNANSWERED_DELAY);
         if now.since(self.updated_at) > MAX_SHARE_AGE {
-            return Err(Self::UNANSWERED_DELAY);
+            return Err(unanswered);
+        }
+        let shared = self.shared_mut(account).ok_or(unanswered)?;
+        match shared.role.holder() {
+            Some(share_role::Holder::Here) => {
+                shared.quota.take_token(now).map_err(TokenDenial::Over)
+            }
+            Some(share_role::Holder::At(host)) => Err(TokenDenial::Moved(host)),
+            None => Err(unanswered),
         }
-        let shared = self.held_here(account).ok_or(Self::UNANSWERED_DELAY)?;
-        shared.quota.take_token(now)
     }
 
     /// Returns the token of a request that did not run.
@@ -240,9 +349,10 @@
         let account_quota = self.accounts.get_mut(account)?;
         match &mut account_quota.shared {
             None => account_quota.own.refund(),
-            Some(shared) => match shared.holder {
-                Holder::Here => shared.quota.refund(),
-                Holder::At(host) => return Some(host),
+            Some(shared) => match shared.role.holder() {
+                Some(share_role::Holder::Here) => shared.quota.refund(),
+                Some(share_role::Holder::At(host)) => return Some(host),
+                None => {}
             },
         }
         None
@@ -250,18 +360,19 @@
 
     /// Takes a token back from another host.
     pub fn return_token(&mut self, account: u32) {
-        if let Some(shared) = self.held_here(account) {
+        let shared = self.shared_mut(account);
+        let held = shared.filter(|shared| shared.role.holder() == Some(share_role::Holder::Here));
+        if let Some(shared) = held {
             shared.quota.refund();
         }
     }
 
-    /// Returns the region's share of an account's limit if this host holds it.
-    fn held_here(&mut self, account: u32) -> Option<&mut SharedQuota> {
+    /// Returns the region's share of the limit of an account, by the digest of its name.
+    fn shared_mut(&mut self, account: u32) -> Option<&mut SharedQuota> {
         let mut accounts = self.accounts.iter_mut();
         let (_account, account_quota) =
             accounts.find(|(name, _quota)| hash::digest(name.as_str()) == account)?;
-        let shared = account_quota.shared.as_mut()?;
-        (shared.holder == Holder::Here).then_some(shared)
+        account_quota.shared.as_mut()
     }
 }
 
@@ -271,26 +382,50 @@
 }
 
 /// Returns the hosts of the region that may hold shares; `None` stands for this host.
-fn holders(
+///
+/// Hosts that leave or start hold shares only where no other host can, so that a share changes hands
+/// while both hosts run.
+fn candidates(
     inputs: Inputs<'_>,
     now: instant::Instant,
 ) -> Vec<(&name::Host, Option<net::SocketAddr>)> {
     let identity = inputs.identity;
-    let region_hosts = inputs.fleet.live(now).filter(|member| {
-        let is_same_region = inputs.topology.region(&member.zone) == Some(&identity.region);
-        is_same_region && member.phase == report::Phase::Ready
+    let own_report = inputs.fleet.own_report();
+    let own_phase = own_report.map_or(report::Phase::Starting, |report| report.member.phase);
+    let region_hosts = inputs
+        .fleet
+        .live(now)
+        .filter(|member| inputs.topology.region(&member.zone) == Some(&identity.region));
+    let others = region_hosts.map(|member| {
+        let control = Some(member.control_address);
+        (member.phase, (&member.host, control))
     });
-    let others = region_hosts.map(|member| (&member.host, Some(member.control_address)));
-    others.chain([(&identity.host, None)]).collect()
+    let all: Vec<_> = others
+        .chain([(own_phase, (&identity.host, None))])
+        .collect();
+    let order = [
+        report::Phase::Ready,
+        report::Phase::Leaving,
+        report::Phase::Starting,
+    ];
+    let is_present = |phase: &report::Phase| all.iter().any(|(other, _host)| other == phase);
+    let best = order.into_iter().find(is_present);
+    all.into_iter()
+        .filter(|(phase, _host)| Some(*phase) == best)
+        .map(|(_phase, host)| host)
+        .collect()
 }
 
-/// Returns the holder of the region's share of an account's limit, by rendezvous hashing.
-fn holder(account: &name::Account, holders: &[(&name::Host, Option<net::SocketAddr>)]) -> Holder {
+/// Elects the holder of the region's share of an account's limit, by rendezvous hashing.
+fn elect(
+    account: &name::Account,
+    candidates: &[(&name::Host, Option<net::SocketAddr>)],
+) -> share_role::Holder {
     let key = hash::HashKey::new("pool", account.as_str().as_bytes());
     let score = |host: &name::Host| key.score(host.as_str(), 1.0);
-    let best = holders
+    let best = candidates
         .iter()
         .max_by(|a, b| score(a.0).total_cmp(&score(b.0)));
     best.and_then(|(_host, control)| *control)
-        .map_or(Holder::Here, Holder::At)
+        .map_or(share_role::Holder::Here, share_role::Holder::At)
 }
--- a/crates/core/tests/traffic/main.rs
+++ b/crates/core/tests/traffic/main.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod queueing;
 mod relays;
+mod share_holders;
 mod shared_quotas;
 mod source_choice;
 mod splits;
--- a/crates/core/tests/traffic/shared_quotas.rs
+++ b/crates/core/tests/traffic/shared_quotas.rs
@@ -7,6 +7,7 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use skylark_core::budget;
+use skylark_core::instant;
 use skylark_core::name;
 use skylark_core::traffic;
 
@@ -73,6 +74,26 @@
             }
             self.dispatchers[*n].refresh(now);
         }
+        self.pass_messages(now);
+    }
+
+    /// Passes the messages about holders between the live hosts, and those that follow from them.
+    fn pass_messages(&mut self, now: instant::Instant) {
+        loop {
+            let live = (0..HOSTS).filter(|n| !self.failed.contains(n));
+            let messages: Vec<_> = live
+                .flat_map(|n| self.dispatchers[n].quotas_mut().take_messages())
+                .collect();
+            if messages.is_empty() {
+                return;
+            }
+            for (to, message) in messages {
+                let to = self.hosts[&to];
+                if !self.failed.contains(&to) {
+                    self.dispatchers[to].quotas_mut().receive(message, now);
+                }
+            }
+        }
     }
 
     /// Returns whether a host admits a request of the account.
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -37,4 +37,6 @@
     },
     /// Limits that targets named in their answers.
     Limits(traffic::LimitReport),
+    /// The holder of an account's share changes.
+    Role(traffic::RoleMessage),
 }
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -178,6 +178,7 @@
             .limits()
             .limited(state.clock.now());
         let (owed, silent) = state.cluster().dispatcher().owed_answers(state.clock.now());
+        let held = state.cluster().dispatcher().quotas().held();
         let hosts = state
             .cluster()
             .dispatcher()
@@ -200,6 +201,10 @@
                 "skylark_host_limited_targets",
                 u64::try_from(limited).unwrap_or(u64::MAX),
             ),
+            (
+                "skylark_host_held_shares",
+                u64::try_from(held).unwrap_or(u64::MAX),
+            ),
             ("skylark_host_requests_at_targets", owed.into()),
             (
                 "skylark_host_silent_targets",
--- a/crates/host/src/reports.rs
+++ b/crates/host/src/reports.rs
@@ -56,6 +56,7 @@
             round = round.wrapping_add(1);
         }
         state.cluster().refresh(now);
+        send_role_messages(&state).await;
         behind = if is_behind(&state) { behind + 1 } else { 0 };
         if behind >= PULL_AFTER_ROUNDS {
             state.pulls.notify();
@@ -94,7 +95,8 @@
 async fn send_changes(state: &state::State, now: instant::Instant) {
     let member = state.member();
     let hosts = {
-        let cluster = state.cluster();
+        let mut cluster = state.cluster();
+        cluster.dispatcher_mut().set_own_member(&member);
         let (fleet, own) = (cluster.dispatcher().fleet(), &state.identity);
         match own_relays(fleet, own, now) {
             Some(relays) if !fleet.is_view_publisher(&own.zone, &own.host, now) => relays,
@@ -104,6 +106,19 @@
     send_message(state, &message::Message::Member(member), &hosts).await;
 }
 
+/// Tells other hosts how the holders of shares change.
+async fn send_role_messages(state: &state::State) {
+    let messages = state
+        .cluster()
+        .dispatcher_mut()
+        .quotas_mut()
+        .take_messages();
+    for (host, message) in messages {
+        log::info!(host:% = host, account = message.account, notice:? = message.notice; "holder of an account's share");
+        send_message(state, &message::Message::Role(message), &[host]).await;
+    }
+}
+
 /// Sends the messages of one round in a fleet with relays.
 async fn send_round(state: &state::State, round: u32, now: instant::Instant) {
     let member = state.member();
@@ -318,6 +333,15 @@
             message::Message::TokenReply { number, grant } => {
                 tokens::complete(&state, from, number, grant);
             }
+            message::Message::Role(message) => {
+                let now = state.clock.now();
+                state
+                    .cluster()
+                    .dispatcher_mut()
+                    .quotas_mut()
+                    .receive(message, now);
+                send_role_messages(&state).await;
+            }
             message::Message::TokenReturn { account } => {
                 let mut cluster = state.cluster();
                 cluster.dispatcher_mut().quotas_mut().return_token(account);
--- a/crates/host/src/tokens.rs
+++ b/crates/host/src/tokens.rs
@@ -19,6 +19,8 @@
 /// Times that a request is sent, as datagrams can be lost.
 const MAX_TRIES: u32 = 2;
 
+/// Hosts that are asked at most while a share changes hands.
+const MAX_HOSTS: u32 = 3;
 /// Time for which a question is remembered, so that a token that comes late is returned.
 const MEMORY_TIME: time::Duration = time::Duration::from_secs(2);
 
@@ -44,6 +46,7 @@
 enum Reply {
     Granted(Charge),
     Over(time::Duration),
+    Moved(net::SocketAddr),
 }
 
 /// A token of a client account's limit; returned when it is dropped without being spent.
@@ -111,6 +114,8 @@
     Token,
     /// No token is available for this many milliseconds.
     Over(u32),
+    /// The host with this control address holds the share.
+    Moved(net::SocketAddr),
 }
 
 impl Pending {
@@ -161,6 +166,7 @@
     let reply = match grant {
         Grant::Token => Reply::Granted(Charge::from_source(state, Source::Holder(from, account))),
         Grant::Over(millis) => Reply::Over(time::Duration::from_millis(millis.into())),
+        Grant::Moved(host) => Reply::Moved(host),
     };
     match waiting {
         Some(waiting) => drop(waiting.send(reply)),
@@ -168,7 +174,7 @@
     }
 }
 
-/// Asks the holder of an account's share for a token.
+/// Asks the holder of an account's share for a token, also where the share has moved to another host.
 ///
 /// # Errors
 ///
@@ -179,20 +185,32 @@
     account: &name::Account,
 ) -> Result<Charge, time::Duration> {
     let account = traffic::digest(account.as_str());
+    let mut asked = holder;
+    for _host in 0..MAX_HOSTS {
+        match ask(state, asked, account).await {
+            Some(Reply::Granted(charge)) => return Ok(charge),
+            Some(Reply::Over(delay)) => return Err(delay),
+            Some(Reply::Moved(host)) => asked = host,
+            None => break,
+        }
+    }
+    state.metrics.record_unanswered();
+    log::info!(holder:% = holder, asked:% = asked, account; "holder of the account's share did not answer; request rejected");
+    Err(traffic::Quotas::UNANSWERED_DELAY)
+}
+
+/// Asks one host for a token; returns `None` if it does not answer.
+async fn ask(state: &state::State, host: net::SocketAddr, account: u32) -> Option<Reply> {
     let (number, mut receiver) = state.pending_tokens.ask(account, state.clock.now());
     let message = message::Message::TokenRequest { number, account };
     for _try in 0..MAX_TRIES {
-        reports::send_message(state, &message, &[holder]).await;
+        reports::send_message(state, &message, &[host]).await;
         match tokio::time::timeout(REPLY_TIMEOUT, &mut receiver).await {
-            Ok(Ok(Reply::Granted(charge))) => return Ok(charge),
-            Ok(Ok(Reply::Over(delay))) => return Err(delay),
-            Ok(Err(_dropped)) => break,
+            Ok(reply) => return reply.ok(),
             Err(_elapsed) => {}
         }
     }
-    state.metrics.record_unanswered();
-    log::info!(holder:% = holder, account; "holder of the account's share did not answer; request rejected");
-    Err(traffic::Quotas::UNANSWERED_DELAY)
+    None
 }
 
 /// Takes a token from a share that this host holds, or returns the delay until there is one.
@@ -205,6 +223,9 @@
         .grant_token(account, now)
     {
         Ok(()) => Grant::Token,
-        Err(pause) => Grant::Over(u32::try_from(pause.as_millis()).unwrap_or(u32::MAX)),
+        Err(traffic::TokenDenial::Over(delay)) => {
+            Grant::Over(u32::try_from(delay.as_millis()).unwrap_or(u32::MAX))
+        }
+        Err(traffic::TokenDenial::Moved(host)) => Grant::Moved(host),
     }
 }
