Count all live hosts among the senders to a limited target

What targets saw: with two of the three hosts of a region leaving, a target that names 10 requests a second got 80 in 4 s (65 borne).

Shares were made for one host too many, not for each host that leaves.

Change: every side counts all live hosts, whatever their phase, as for cold targets. The share of a host that leaves ends when the others no longer hear it.

The roles that two hosts may hold for a moment say why beside their code.

--- a/crates/core/src/traffic/cold_start.rs
+++ b/crates/core/src/traffic/cold_start.rs
@@ -16,7 +16,8 @@
 ///
 /// Protects targets that return together after a fault. A few hosts, chosen by
 /// rendezvous hashing and so the same on every host, divide the request rate that
-/// a cold target can handle.
+/// a cold target can handle. All live hosts count, whatever their phase, so that hosts which
+/// start or leave do not come on top of those that divide the rate.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdStart {
     cold_until: instant::Instant,
--- a/crates/core/src/traffic/dispatcher.rs
+++ b/crates/core/src/traffic/dispatcher.rs
@@ -934,14 +934,15 @@
     fn update_limit_shares(&mut self, now: instant::Instant) {
         let peers = self.peer_counts(now);
         let own = &self.identity;
-        let others = self.fleet.live(now);
-        let ready = others.filter(|member| member.phase == report::Phase::Ready);
-        let mut ready: Vec<(&name::Host, &name::Zone)> =
-            ready.map(|member| (&member.host, &member.zone)).collect();
-        ready.push((&own.host, &own.zone));
+        // Hosts that start or leave count for all others as they do for themselves: a share ends for
+        // them when it ends in the others' view. Only a host that is not heard yet comes on top.
+        let live = self.fleet.live(now);
+        let mut hosts: Vec<(&name::Host, &name::Zone)> =
+            live.map(|member| (&member.host, &member.zone)).collect();
+        hosts.push((&own.host, &own.zone));
         let hosts = target_limits::Hosts {
             topology: &self.topology,
-            ready: &ready,
+            live: &hosts,
             is_isolated: !peers.has_majority && peers.hosts > 0,
         };
         self.limits.update_shares(hosts, now);
--- a/crates/core/src/traffic/fleet.rs
+++ b/crates/core/src/traffic/fleet.rs
@@ -281,7 +281,7 @@
     /// relay order.
     ///
     /// A host that is still starting does not pass on what it reads, so it counts only for
-    /// others that are.
+    /// others that are. Two hosts that read at once do no harm: what they read is the same.
     #[must_use]
     pub fn has_store_reader(
         &self,
@@ -303,6 +303,8 @@
     }
 
     /// Returns the relays of a zone among the other hosts, in the relay order.
+    ///
+    /// More relays than needed do no harm: what they tell replaces what was told, by its age.
     #[must_use]
     pub fn zone_relays(&self, zone: &name::Zone, now: instant::Instant) -> Vec<&report::Member> {
         let mut relays = self.ordered_zone_peers(zone, now);
--- a/crates/core/src/traffic/target_limits.rs
+++ b/crates/core/src/traffic/target_limits.rs
@@ -100,8 +100,8 @@
 pub struct Hosts<'a> {
     /// The availability zones and their regions.
     pub topology: &'a topology::Topology,
-    /// Names and zones of the hosts that take requests, this one included.
-    pub ready: &'a [(&'a name::Host, &'a name::Zone)],
+    /// Names and zones of the live hosts, this one included.
+    pub live: &'a [(&'a name::Host, &'a name::Zone)],
     /// Whether most of the other hosts are silent.
     pub is_isolated: bool,
 }
@@ -328,7 +328,7 @@
 impl<'a> Region<'a> {
     /// Selects the hosts of a region, or all if it has none.
     fn new(hosts: Hosts<'a>, region: Option<&name::Region>) -> Self {
-        let all = || hosts.ready.iter();
+        let all = || hosts.live.iter();
         let near = all().filter(|(_host, zone)| hosts.topology.region(zone) == region);
         let mut names: Vec<&str> = near.map(|(host, _zone)| host.as_str()).collect();
         if names.is_empty() {
--- a/crates/core/tests/traffic/target_limits.rs
+++ b/crates/core/tests/traffic/target_limits.rs
@@ -240,7 +240,7 @@
             let hosts = traffic::LimitHosts {
                 topology: &topology,
                 is_isolated: ready.len() * 2 < names.len(),
-                ready: &ready,
+                live: &ready,
             };
             self.hosts[own].limits.update_shares(hosts, common::at(now));
         }
@@ -524,3 +524,66 @@
     assert!(!own.has_room(&target.id, common::at(59_000)));
     assert!(own.has_room(&target.id, common::at(60_000)));
 }
+
+/// Guards against hosts that leave and still count themselves beside those that have divided their
+/// shares.
+///
+/// Load pattern: two of the three hosts of a region leave while all have requests for a target.
+#[test]
+fn hosts_that_leave_together_do_not_exceed_the_limit_of_a_target() {
+    const LIMIT: f64 = 10.0;
+    let target = common::target("t0", "a1", 40);
+    let names = ["h0", "h1", "h2"];
+    let mut dispatchers = names.map(|name| {
+        let mut dispatcher = common::dispatcher(name, "a1", std::slice::from_ref(&target));
+        let limits = dispatcher.limits_mut();
+        assert!(limits.observe(&target.id, Some(LIMIT), common::at(0)));
+        dispatcher
+    });
+    let mut sent_at = Vec::new();
+    for millis in (0..16_000).step_by(10) {
+        let now = common::at(millis);
+        if millis % 250 == 0 {
+            let reports: Vec<traffic::Report> = names
+                .into_iter()
+                .zip(&mut dispatchers)
+                .enumerate()
+                .map(|(n, (name, dispatcher))| {
+                    let mut member = common::report(name, "a1", 1).member;
+                    if n > 0 && millis >= 8_000 {
+                        member.phase = traffic::Phase::Leaving;
+                    }
+                    dispatcher.report(member, now)
+                })
+                .collect();
+            for (n, dispatcher) in dispatchers.iter_mut().enumerate() {
+                for (_from, report) in reports.iter().enumerate().filter(|(from, _r)| *from != n) {
+                    dispatcher.apply_report(report.clone(), now);
+                }
+                dispatcher.refresh(now);
+            }
+        }
+        for dispatcher in &mut dispatchers {
+            let request = common::request("stock", 2, "o", now);
+            if let Some(pick) = common::sent_to(&dispatcher.place(&request, now)).cloned() {
+                let answered = traffic::AttemptResult::Answered(None);
+                dispatcher.record_result(&request, &pick, answered, now);
+                sent_at.push(millis);
+            }
+        }
+    }
+    let after = |start: u64| {
+        let window = start..start + WINDOW_MILLIS;
+        sent_at.iter().filter(|at| window.contains(*at)).count()
+    };
+    let allowed = 1.5 * LIMIT * 4.0 + 5.0;
+    let most = (3_000..12_000)
+        .step_by(10)
+        .map(after)
+        .max()
+        .expect("windows");
+    let most = f64::from(u32::try_from(most).expect("small"));
+    assert!(most <= allowed, "{most} of {allowed}");
+    let steady = f64::from(u32::try_from(after(4_000)).expect("small"));
+    assert!(steady >= LIMIT * 4.0 * 0.9, "{steady}");
+}
