Follow the records although one of them is not understood

What operators of similar systems saw: one odd entry, and the processes stopped following the list.

Change: rows and the platform's list of hosts are decoded one by one. A record that is not understood is logged, and the one in force is kept; a change that is not understood leads to a read of all records. skylark warns of such rows, counts them as absent, and removes them. A row with a newer schema still ends the command, as before.

Test: odd_records (address out of range, number too large, 100 levels deep, no map): before, "version 6 is written but not yet accepted", and every command failed with "row 'record/target/odd-0' cannot be parsed".

--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -14,7 +14,7 @@
 /// Fails when any record is invalid or the change is not accepted.
 pub async fn run(session: &session::Session, flags: &options::Apply) -> error::Result<()> {
     let files = files::Files::new(&flags.files)?;
-    let base = session.store()?.snapshot().await?;
+    let base = session.snapshot().await?;
     let documents = files.documents(base.records.values())?;
     let edit = store::Edit {
         put: base.changed(&documents),
--- a/crates/cli/src/command/burn/mod.rs
+++ b/crates/cli/src/command/burn/mod.rs
@@ -36,7 +36,7 @@
             .long
             .unwrap_or(unit::HumanDuration::from_millis(LONG_WINDOW_MILLIS)),
     };
-    let base = session.store()?.snapshot().await?;
+    let base = session.snapshot().await?;
     let decisions = decisions::read_all(&session.platform()?).await?;
     let catalog = base.check(&crate::store::Edit::default())?;
     let now = timestamp::Timestamp::from(time::SystemTime::now());
--- a/crates/cli/src/command/diff.rs
+++ b/crates/cli/src/command/diff.rs
@@ -20,7 +20,7 @@
 /// Fails when any record is invalid or differs.
 pub async fn run(session: &session::Session, flags: &options::Diff) -> error::Result<()> {
     let files = files::Files::new(&flags.files)?;
-    let base = session.store()?.snapshot().await?;
+    let base = session.snapshot().await?;
     let documents = files.documents(base.records.values())?;
     let changed = base.changed(&documents);
     print_differences(session, &base, &changed)?;
--- a/crates/cli/src/command/drain.rs
+++ b/crates/cli/src/command/drain.rs
@@ -16,7 +16,7 @@
 /// Fails when the subject is unknown or the change is not accepted.
 pub async fn run(session: &session::Session, flags: &options::Drain) -> error::Result<()> {
     let subject = parse_subject(&flags.kind, &flags.name)?;
-    let base = session.store()?.snapshot().await?;
+    let base = session.snapshot().await?;
     let drain = record::Drain {
         name: format!("{}-{}", flags.kind, flags.name),
         subject,
--- a/crates/cli/src/command/get.rs
+++ b/crates/cli/src/command/get.rs
@@ -19,7 +19,7 @@
     if let Some(kind) = &flags.kind {
         check_kind(kind)?;
     }
-    let snapshot = session.store()?.snapshot().await?;
+    let snapshot = session.snapshot().await?;
     let prefix = match (&flags.kind, &flags.name) {
         (Some(kind), Some(name)) => format!("{kind}/{name}"),
         (Some(kind), None) => format!("{kind}/"),
--- a/crates/cli/src/command/key.rs
+++ b/crates/cli/src/command/key.rs
@@ -29,9 +29,9 @@
 /// Fails when the name is in use, the account is unknown, or the change is not accepted.
 pub async fn issue(session: &session::Session, flags: &options::Issue) -> error::Result<()> {
     let account = name::Account::new(&flags.account)?;
-    let store = session.store()?;
-    let base = store.snapshot().await?;
-    if base.records.contains_key(&record_id(&flags.name)) {
+    let base = session.snapshot().await?;
+    let id = record_id(&flags.name);
+    if base.records.contains_key(&id) || base.unreadable.contains_key(&id) {
         let text = format!("key '{}' already exists: choose another name", flags.name);
         return Err(error::Error::Usage(text));
     }
@@ -42,7 +42,7 @@
         digest: secret::Secret::new(&secret).digest(),
         state: record::State::Valid,
     };
-    let version = store.commit(&base, put_key(key)).await?;
+    let version = session.store()?.commit(&base, put_key(key)).await?;
     let printed_secret = secret.clone();
     let issued = Issued {
         name: flags.name.clone(),
@@ -61,7 +61,7 @@
 ///
 /// Fails when no key has the name or the change is not accepted.
 pub async fn withdraw(session: &session::Session, flags: &options::Withdraw) -> error::Result<()> {
-    let base = session.store()?.snapshot().await?;
+    let base = session.snapshot().await?;
     let known = base.records.get(&record_id(&flags.name));
     let known = known.and_then(|document| document.key.clone());
     let mut key = known.ok_or_else(|| not_found(&base, &flags.name))?;
--- a/crates/cli/src/command/remove.rs
+++ b/crates/cli/src/command/remove.rs
@@ -20,8 +20,9 @@
             "no record was given: name records as KIND/NAME".to_owned(),
         ));
     }
-    let base = session.store()?.snapshot().await?;
-    let missing = flags.ids.iter().find(|id| !base.records.contains_key(*id));
+    let base = session.snapshot().await?;
+    let is_stored = |id: &String| base.records.contains_key(id) || base.unreadable.contains_key(id);
+    let missing = flags.ids.iter().find(|id| !is_stored(id));
     if let Some(id) = missing {
         let hint = suggest::nearest(id, base.records.keys().map(String::as_str));
         let hint = hint.map(|id| format!(": did you mean '{id}'?"));
--- a/crates/cli/src/command/shift.rs
+++ b/crates/cli/src/command/shift.rs
@@ -16,7 +16,7 @@
 pub async fn run(session: &session::Session, flags: &options::Shift) -> error::Result<()> {
     let name = format!("{}-{}-{}", flags.service, flags.from, flags.to);
     let id = format!("shift/{name}");
-    let base = session.store()?.snapshot().await?;
+    let base = session.snapshot().await?;
     let edit = if flags.undo {
         store::Edit {
             put: Vec::new(),
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -31,7 +31,7 @@
     let platform = session.platform()?;
     let monitor = rollout::Monitor::observe(&platform, rollout::HEARTBEAT_TIMEOUT).await?;
     let hosts = rollout::hosts(&platform).await?;
-    let base = session.store()?.snapshot().await?;
+    let base = session.snapshot().await?;
     let records = || base.records.values();
     let status = Status {
         head: &base.head,
--- a/crates/cli/src/print.rs
+++ b/crates/cli/src/print.rs
@@ -21,6 +21,11 @@
     anstream::eprintln!("{line}");
 }
 
+/// Prints a warning to standard error.
+pub fn warning(text: &str) {
+    anstream::eprintln!("{} {text}", styled(WARNING, "warning:"));
+}
+
 /// Returns a number of records as text, such as `2 records`.
 pub fn record_count(count: usize) -> String {
     match count {
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -10,6 +10,7 @@
 use super::command;
 use super::error;
 use super::options;
+use super::print;
 use super::rollout;
 use super::store;
 
@@ -54,6 +55,21 @@
         Ok(platform::Client::new(url))
     }
 
+    /// Reads all records of the newest version; warns of rows that cannot be parsed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is not named or the records cannot be read.
+    pub async fn snapshot(&self) -> error::Result<store::Snapshot> {
+        let snapshot = self.store()?.snapshot().await?;
+        for (id, reason) in &snapshot.unreadable {
+            print::warning(&format!(
+                "record '{id}' cannot be parsed and is not in force: {reason}; correct it, or remove it with `skylark remove {id}`"
+            ));
+        }
+        Ok(snapshot)
+    }
+
     /// Returns the store of the records on the platform.
     ///
     /// # Errors
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -34,6 +34,8 @@
     pub head_row: u64,
     /// Records by identity, such as `key/NAME`.
     pub records: collections::BTreeMap<String, record::Document>,
+    /// Rows that cannot be parsed, by identity, with the reason; they count as absent.
+    pub unreadable: collections::BTreeMap<String, String>,
 }
 
 /// Change to the records: those to put and the identities to remove.
@@ -64,6 +66,29 @@
         documents.iter().filter(is_changed).cloned().collect()
     }
 
+    /// Adds a row of the platform.
+    fn add(&mut self, row: &platform::Row) -> error::Result<()> {
+        let schema = row.value.get("schema").and_then(serde_json::Value::as_u64);
+        let newest = record::Document::NEWEST_SCHEMA;
+        if schema.is_some_and(|schema| schema > u64::from(newest)) {
+            let reason = format!(
+                "row '{}' has a schema newer than {newest}: use a newer version of `skylark`",
+                row.key
+            );
+            return Err(platform::Error::BadAnswer { reason }.into());
+        }
+        let id = row.key.trim_start_matches(RECORD_PREFIX).to_owned();
+        match serde_json::from_value(row.value.clone()) {
+            Ok(document) => {
+                self.records.insert(id, document);
+            }
+            Err(error) => {
+                self.unreadable.insert(id, error.to_string());
+            }
+        }
+        Ok(())
+    }
+
     /// Validates the records as an edit would leave them and returns their catalog.
     ///
     /// # Errors
@@ -96,19 +121,22 @@
     ///
     /// # Errors
     ///
-    /// Fails when the platform does not answer, a record cannot be parsed, or every attempt
+    /// Fails when the platform does not answer, a record has a newer schema, or every attempt
     /// to read the records was overtaken by another change.
     pub async fn snapshot(&self) -> error::Result<Snapshot> {
         for _ in 0..MAX_SNAPSHOT_ATTEMPTS {
             let (head_row, head) = self.head().await?;
             let rows = self.platform.rows(RECORD_PREFIX).await?;
             if self.head().await?.0 == head_row {
-                let records = rows.iter().map(parse_record);
-                return Ok(Snapshot {
+                let mut snapshot = Snapshot {
                     head,
                     head_row,
-                    records: records.collect::<error::Result<_>>()?,
-                });
+                    ..Snapshot::default()
+                };
+                for row in &rows {
+                    snapshot.add(row)?;
+                }
+                return Ok(snapshot);
             }
         }
         Err(error::Error::Conflict)
@@ -276,17 +304,3 @@
         .into()
     })
 }
-
-fn parse_record(row: &platform::Row) -> error::Result<(String, record::Document)> {
-    let schema = row.value.get("schema").and_then(serde_json::Value::as_u64);
-    let newest = record::Document::NEWEST_SCHEMA;
-    if schema.is_some_and(|schema| schema > u64::from(newest)) {
-        let reason = format!(
-            "row '{}' has a schema newer than {newest}: use a newer version of `skylark`",
-            row.key
-        );
-        return Err(platform::Error::BadAnswer { reason }.into());
-    }
-    let id = row.key.trim_start_matches(RECORD_PREFIX).to_owned();
-    Ok((id, parse_row(row)?))
-}
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -46,6 +46,12 @@
         self.documents.values()
     }
 
+    /// Returns a record in force by its id.
+    #[must_use]
+    pub fn document(&self, id: &str) -> Option<&record::Document> {
+        self.documents.get(id)
+    }
+
     /// Records that a peer or the store has a version, applied here or not.
     pub fn observe_version(&mut self, version: unit::Version) {
         self.newest_seen = self.newest_seen.max(Some(version));
--- a/crates/steer/src/heartbeat.rs
+++ b/crates/steer/src/heartbeat.rs
@@ -154,7 +154,13 @@
     for row in rows {
         let zone = row.key.trim_start_matches(ZONE_PREFIX).to_owned();
         let version = row.version;
-        let heartbeat: Heartbeat = table::decode(row)?;
+        let heartbeat: Heartbeat = match table::decode(row) {
+            Ok(heartbeat) => heartbeat,
+            Err(error) => {
+                log::debug!(zone = zone.as_str(), error:% = error; "heartbeat not understood; the others hold");
+                continue;
+            }
+        };
         let incarnation = &heartbeat.report.incarnation;
         let is_current = state.with(|control| {
             control.on_heartbeat(incarnation, version, now);
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -129,31 +129,53 @@
         return read_all(state).await;
     }
     for version in installed.get() + 1..=head.get() {
-        let row = state
-            .platform
-            .row(&format!("{CHANGE_PREFIX}{version}"))
-            .await?;
-        let Some(row) = row else {
-            return read_all(state).await;
-        };
-        let change: record::Change = decode(row)?;
-        state.with(|control| control.apply(&[change]));
+        match read_change(state, version).await {
+            Ok(Some(change)) => state.with(|control| control.apply(&[change])),
+            Ok(None) => return read_all(state).await,
+            Err(platform::Error::BadAnswer { reason }) => {
+                log::error!(version, reason = reason.as_str(); "change not understood; reading all records");
+                return read_all(state).await;
+            }
+            Err(error) => return Err(error),
+        }
     }
     Ok(())
 }
 
+async fn read_change(
+    state: &state::State,
+    version: u64,
+) -> platform::Result<Option<record::Change>> {
+    let key = format!("{CHANGE_PREFIX}{version}");
+    state.platform.row(&key).await?.map(decode).transpose()
+}
+
 /// Reads all records, and applies them only if no version was written during the read.
 async fn read_all(state: &state::State) -> platform::Result<()> {
     let before = head_version(state).await?;
     let rows = state.platform.rows(RECORD_PREFIX).await?;
-    let records: platform::Result<Vec<record::Document>> = rows.into_iter().map(decode).collect();
-    let records = records?;
+    let records: Vec<record::Document> = rows
+        .into_iter()
+        .filter_map(|row| read_record(state, row))
+        .collect();
     if head_version(state).await? == before {
         state.with(|control| control.replace(before, &records));
     }
     Ok(())
 }
 
+/// Returns the record of a row, or the one in force in place of one that is not understood.
+fn read_record(state: &state::State, row: platform::Row) -> Option<record::Document> {
+    let id = row.key.trim_start_matches(RECORD_PREFIX).to_owned();
+    let error = match decode(row) {
+        Ok(record) => return Some(record),
+        Err(error) => error,
+    };
+    let in_force = state.with(|control| control.config.document(&id).cloned());
+    log::error!(record = id.as_str(), error:% = error, kept = in_force.is_some(); "record not understood; keeping the one in force, if any");
+    in_force
+}
+
 async fn head_version(state: &state::State) -> platform::Result<unit::Version> {
     let row = state.platform.row(HEAD_KEY).await?;
     let head: Option<record::Head> = row.map(decode).transpose()?;
--- a/crates/wire/src/platform/client.rs
+++ b/crates/wire/src/platform/client.rs
@@ -61,6 +61,32 @@
     })
 }
 
+/// Decodes a list whose items may come from several writers: one by one, as one that cannot be read
+/// must not cost the others. `rescue` turns what can be read of such an item into one, if anything.
+fn decode_list<T: serde::de::DeserializeOwned>(
+    reply: &http::Reply,
+    rescue: impl Fn(&str) -> Option<T>,
+) -> api::Result<Vec<T>> {
+    let items: Vec<Box<serde_json::value::RawValue>> = decode(reply)?;
+    let parse = |text: &str| serde_json::from_str(text).ok().or_else(|| rescue(text));
+    Ok(items.iter().filter_map(|item| parse(item.get())).collect())
+}
+
+/// Returns a row with an empty value in place of one whose value cannot be read.
+fn without_value(text: &str) -> Option<row::Row> {
+    #[derive(serde::Deserialize)]
+    struct Head {
+        key: String,
+        version: u64,
+    }
+    let head: Head = serde_json::from_str(text).ok()?;
+    Some(row::Row {
+        key: head.key,
+        version: head.version,
+        value: serde_json::Value::Null,
+    })
+}
+
 fn encode<T: serde::Serialize>(value: &T) -> api::Result<Vec<u8>> {
     serde_json::to_vec(value).map_err(|error| api::Error::BadAnswer {
         reason: error.to_string(),
@@ -82,7 +108,7 @@
         let reply = self
             .call("GET", &format!("/table/rows/{prefix}"), Vec::new())
             .await?;
-        decode(&reply)
+        decode_list(&reply, without_value)
     }
 
     async fn commit(&self, commit: &row::Commit) -> api::Result<()> {
@@ -125,6 +151,6 @@
 
     async fn hosts(&self) -> api::Result<Vec<row::HostEntry>> {
         let reply = self.call("GET", "/hosts", Vec::new()).await?;
-        decode(&reply)
+        decode_list(&reply, |_text| None)
     }
 }
