--- a/crates/core/tests/traffic/common.rs
+++ b/crates/core/tests/traffic/common.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use skylark_core::budget;
 use skylark_core::instant;
 use skylark_core::name;
 use skylark_core::record;
@@ -95,6 +96,20 @@
     sync::Arc::new(rules)
 }
 
+/// Returns rules with an account whose rate and burst are equal, in requests (a second).
+pub(crate) fn rules_with_account(account: &name::Account, limit: u64) -> sync::Arc<traffic::Rules> {
+    let tokens = budget::Amount::from_tokens(limit);
+    let mut rules = traffic::Rules::clone(&rules(2, &[route("stock", 2)]));
+    rules.accounts.push(sync::Arc::new(traffic::Account {
+        name: account.clone(),
+        keys: Vec::new(),
+        priority: None,
+        limit: Some(budget::Limit::new(tokens, tokens)),
+        regions: Vec::new(),
+    }));
+    sync::Arc::new(rules)
+}
+
 pub(crate) fn dispatcher(host: &str, zone_name: &str, targets: &[traffic::Target]) -> Dispatcher {
     let region = topology().region(&zone(zone_name)).expect("region").clone();
     let identity = traffic::Identity {
--- a/crates/core/tests/traffic/share_holders.rs
+++ b/crates/core/tests/traffic/share_holders.rs
@@ -6,7 +6,6 @@
 
 use rand::RngExt as _;
 use rand::SeedableRng as _;
-use skylark_core::budget;
 use skylark_core::name;
 use skylark_core::traffic;
 
@@ -77,16 +76,7 @@
 impl Sim {
     fn new(seed: u64) -> Self {
         let account = name::Account::new("acme").expect("account");
-        let limit = budget::Amount::from_tokens(RATE);
-        let mut rules = traffic::Rules::clone(&common::rules(2, &[common::route("stock", 2)]));
-        rules.accounts.push(sync::Arc::new(traffic::Account {
-            name: account.clone(),
-            keys: Vec::new(),
-            priority: None,
-            limit: Some(budget::Limit::new(limit, limit)),
-            regions: Vec::new(),
-        }));
-        let rules = sync::Arc::new(rules);
+        let rules = common::rules_with_account(&account, RATE);
         Self {
             dispatchers: (0..HOSTS).map(|n| dispatcher(n, &rules, 0)).collect(),
             statuses: [Status::Starting(500); HOSTS],
--- a/crates/core/tests/traffic/shared_quotas.rs
+++ b/crates/core/tests/traffic/shared_quotas.rs
@@ -6,7 +6,6 @@
 
 use rand::RngExt as _;
 use rand::SeedableRng as _;
-use skylark_core::budget;
 use skylark_core::instant;
 use skylark_core::name;
 use skylark_core::traffic;
@@ -32,16 +31,7 @@
 impl Cluster {
     fn new() -> Self {
         let account = name::Account::new("shop").expect("account");
-        let limit = budget::Amount::from_tokens(RATE);
-        let mut rules = traffic::Rules::clone(&common::rules(2, &[common::route("stock", 2)]));
-        rules.accounts.push(sync::Arc::new(traffic::Account {
-            name: account.clone(),
-            keys: Vec::new(),
-            priority: None,
-            limit: Some(budget::Limit::new(limit, limit)),
-            regions: Vec::new(),
-        }));
-        let rules = sync::Arc::new(rules);
+        let rules = common::rules_with_account(&account, RATE);
         let dispatchers = (0..HOSTS).map(|n| {
             let mut dispatcher = common::dispatcher(&format!("h{n}"), ZONES[n % ZONES.len()], &[]);
             assert!(dispatcher.set_rules(sync::Arc::clone(&rules), common::at(0)));
