--- a/crates/host/tests/share_holders.rs
+++ b/crates/host/tests/share_holders.rs
@@ -118,3 +118,42 @@
     let due = RATE * seconds * 7 / 8 * 9 / 10;
     assert!(served >= due, "{served} of {due} served:\n{lines}");
 }
+
+/// Guards against an account that is refused below its limit after its holder was slow to answer.
+#[tokio::test]
+async fn tokens_that_come_too_late_are_returned() {
+    /// So small that two hosts do not divide it.
+    const BURST: usize = 7;
+    /// Tokens at the region's holder without demand, half of the limit.
+    const TOKENS: usize = BURST / 2;
+    let store = store::Store::start().await;
+    let rules = host::configuration("0000000a", "/look/");
+    let rules = rules.replace("\"ratePerS\":500", "\"ratePerS\":1");
+    let rules = rules.replace("\"burst\":500", &format!("\"burst\":{BURST}"));
+    store.put("op", "config", &rules);
+    let target = target::Target::start("i-1").await;
+    target.register(&store, "ready");
+    let mut names = ["front-a1-0", "front-a1-1"];
+    let key = traffic::HashKey::new("pool", b"acme");
+    names.sort_by(|a, b| key.score(b, 1.0).total_cmp(&key.score(a, 1.0)));
+    let holder = host::Host::start_named(&store, names[0]).await;
+    let other = host::Host::start_named(&store, names[1]).await;
+    other.wait_for_log(&["host changed", names[0]]).await;
+    holder.wait_for_log(&["host changed", names[1]]).await;
+    // The bucket fills at half a token a second.
+    tokio::time::sleep(time::Duration::from_secs(8)).await;
+
+    holder.signal("-STOP");
+    for n in 0..TOKENS {
+        let reply = other.request("GET", "/look/x", &format!("late-{n}")).await;
+        assert_eq!(reply.status, 429, "{}", other.log());
+    }
+    holder.signal("-CONT");
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    let mut served = 0;
+    for n in 0..TOKENS {
+        let reply = other.request("GET", "/look/x", &format!("again-{n}")).await;
+        served += usize::from(reply.status == 200);
+    }
+    assert_eq!(served, TOKENS, "{}\n{}", holder.log(), other.log());
+}
