--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,6 +5,7 @@
 mod body;
 mod caller_stream;
 mod callers;
+mod charge;
 mod cluster;
 mod connection;
 mod connections;
--- a/crates/host/src/pipeline.rs
+++ b/crates/host/src/pipeline.rs
@@ -16,6 +16,7 @@
 use super::active;
 use super::attempt;
 use super::body;
+use super::charge;
 use super::exchange;
 use super::memory;
 use super::queue;
@@ -297,7 +298,7 @@
     state: &sync::Arc<state::State>,
     request: &traffic::Request,
     entry: &mut RequestLog,
-) -> Result<Option<tokens::Charge>, Rejection> {
+) -> Result<Option<charge::Charge>, Rejection> {
     let now = state.clock.now();
     if let Some(stopping) = state.stopping_since() {
         let grace = state.settings().grace_period;
@@ -334,7 +335,7 @@
     state: &sync::Arc<state::State>,
     account: &name::Account,
     entry: &mut RequestLog,
-) -> Result<tokens::Charge, Rejection> {
+) -> Result<charge::Charge, Rejection> {
     let now = state.clock.now();
     let charge = state
         .cluster()
@@ -342,7 +343,7 @@
         .quotas_mut()
         .admit(account, now);
     let charged = match charge {
-        traffic::QuotaDecision::Admitted => Ok(tokens::Charge::new(state, account)),
+        traffic::QuotaDecision::Admitted => Ok(charge::Charge::new(state, account)),
         traffic::QuotaDecision::Limited(delay) => Err(delay),
         traffic::QuotaDecision::AskHolder(holder) => {
             entry.holder = Some(holder);
@@ -404,7 +405,7 @@
     request: &mut traffic::Request,
     outgoing: &exchange::Request,
     payload: &mut exchange::Payload,
-    charge: &mut Option<tokens::Charge>,
+    charge: &mut Option<charge::Charge>,
     entry: &mut RequestLog,
 ) -> Result<response::Response, Rejection> {
     let mut sends = 0;
@@ -459,7 +460,7 @@
     }
 }
 
-fn set_spent(charge: &mut Option<tokens::Charge>, is_spent: bool) {
+fn set_spent(charge: &mut Option<charge::Charge>, is_spent: bool) {
     if let Some(charge) = charge {
         charge.set_spent(is_spent);
     }
--- a/crates/host/src/tokens.rs
+++ b/crates/host/src/tokens.rs
@@ -10,6 +10,7 @@
 use skylark_core::name;
 use skylark_core::traffic;
 
+use super::charge;
 use super::message;
 use super::reports;
 use super::state;
@@ -18,7 +19,6 @@
 const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(30);
 /// Times that a request is sent, as datagrams can be lost.
 const MAX_TRIES: u32 = 2;
-
 /// Hosts that are asked at most while a share changes hands.
 const MAX_HOSTS: u32 = 3;
 /// Time for which a question is remembered, so that a token that comes late is returned.
@@ -44,68 +44,11 @@
 /// A reply as the request that waits for it gets it.
 #[derive(Debug)]
 enum Reply {
-    Granted(Charge),
+    Granted(charge::Charge),
     Over(time::Duration),
     Moved(net::SocketAddr),
 }
 
-/// A token of a client account's limit; returned when it is dropped without being spent.
-#[derive(Debug)]
-pub(crate) struct Charge {
-    state: sync::Arc<state::State>,
-    source: Source,
-    is_spent: bool,
-}
-
-/// Where a token comes from.
-#[derive(Debug)]
-enum Source {
-    /// This host's share of the account's limit.
-    Own(name::Account),
-    /// The host with this control address, for the account with this digest.
-    Holder(net::SocketAddr, u32),
-}
-
-impl Charge {
-    /// Takes over a token of this host's share.
-    pub(crate) fn new(state: &sync::Arc<state::State>, account: &name::Account) -> Self {
-        Self::from_source(state, Source::Own(account.clone()))
-    }
-
-    fn from_source(state: &sync::Arc<state::State>, source: Source) -> Self {
-        Self {
-            state: sync::Arc::clone(state),
-            source,
-            is_spent: false,
-        }
-    }
-
-    /// Sets whether the request of the token may have run.
-    pub(crate) const fn set_spent(&mut self, is_spent: bool) {
-        self.is_spent = is_spent;
-    }
-}
-
-impl Drop for Charge {
-    fn drop(&mut self) {
-        if self.is_spent {
-            return;
-        }
-        let (holder, account) = match &self.source {
-            Source::Own(account) => {
-                let mut cluster = self.state.cluster();
-                let holder = cluster.dispatcher_mut().quotas_mut().refund(account);
-                (holder, traffic::digest(account.as_str()))
-            }
-            Source::Holder(holder, account) => (Some(*holder), *account),
-        };
-        if let Some(holder) = holder {
-            let message = message::Message::TokenReturn { account };
-            reports::send_now(&self.state, &message, holder);
-        }
-    }
-}
-
 /// Reply of the holder of a share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -164,7 +107,7 @@
         return;
     };
     let reply = match grant {
-        Grant::Token => Reply::Granted(Charge::from_source(state, Source::Holder(from, account))),
+        Grant::Token => Reply::Granted(charge::Charge::granted(state, from, account)),
         Grant::Over(millis) => Reply::Over(time::Duration::from_millis(millis.into())),
         Grant::Moved(host) => Reply::Moved(host),
     };
@@ -183,7 +126,7 @@
     state: &state::State,
     holder: net::SocketAddr,
     account: &name::Account,
-) -> Result<Charge, time::Duration> {
+) -> Result<charge::Charge, time::Duration> {
     let account = traffic::digest(account.as_str());
     let mut asked = holder;
     for _host in 0..MAX_HOSTS {
